--- /dev/null
+++ b/api.go
@@ -0,0 +1,259 @@
+// Package snowhall makes the decisions of one front door ("door") that meters many customers' use of one
+// shared service: which requests go on, to which backend, when, how often, and which are refused.
+//
+// A [Door] does no input or output and starts no goroutine. The caller hands it what happened as [Event]
+// values and carries out the [Action] values that come back, in their order. All times are time.Duration
+// values on the caller's clock, which may start anywhere and must not go back. The same settings, seed and
+// events give the same actions. A Door is not safe for concurrent use; different Doors share nothing.
+package snowhall
+
+import "time"
+
+// Effect says what repeating a request of a class may do.
+type Effect int
+
+const (
+	Safe   Effect = iota // may be repeated and refused freely
+	Keyed                // backends of one group drop repeats for a while
+	Unsafe               // may run once at most
+)
+
+// Group names the backends that drop repeats of a keyed request.
+type Group int
+
+const (
+	GroupAll  Group = iota // every backend
+	GroupZone              // those of one zone
+	GroupCell              // those of one cell
+)
+
+// Class describes a class of requests.
+type Class struct {
+	Worth     float64       // worth of one unit answered within Aim
+	LateWorth float64       // share of Worth for an answer after Aim
+	Aim       time.Duration // an answer within this time earns the full worth
+	GiveUp    time.Duration // how long a client waits in all
+	Effect    Effect
+	Group     Group         // for Keyed
+	Window    time.Duration // for Keyed: how long repeats are dropped, from the first send that may have run
+	Stream    bool          // the answer is a stream; see FirstByte
+}
+
+// Plan describes the quota of each customer on it, over all doors together.
+type Plan struct {
+	Rate         float64 // units a second by which the customer's store fills; 0: no such quota
+	Burst        float64 // units the store holds; it starts full
+	AtOnce       int     // attempts out at once; 0: no such quota
+	Factor       float64 // factor on the worth
+	OverWorth    float64 // share of its worth that a request beyond the quota earns
+	OverCost     float64 // share of its worth that a request beyond the quota costs
+	CeilingRate  float64 // units a second by which the hard ceiling's store fills; 0: no ceiling
+	CeilingDepth float64 // units the ceiling's store holds; it starts full
+}
+
+// Settings is what a Door is told at its start. The slices belong to the Door from then on.
+type Settings struct {
+	Doors      int           // doors of this tier, this one included; 1 at least
+	Rank       int           // this door's number among them, from 0
+	Zone       int           // this door's zone
+	Resolution time.Duration // events come at most this often
+	Classes    []Class       // at least one
+	Plans      []Plan        // at least one
+
+	MaxAttempts   int           // most attempts for one request; 1 at least
+	SecondCopies  bool          // a request may have two attempts out at once
+	MayCancel     bool          // Cancel is allowed
+	MayProbe      bool          // Probe is allowed
+	RetryAfter    bool          // clients are given Refuse.Pause
+	MaxRetryAfter time.Duration // the longest pause that a client heeds
+	OnRequest     bool          // the list of backends must be asked for (Watch, Fetch)
+	AskEvery      time.Duration // with OnRequest: how old the list may get
+
+	AnswerSlack       time.Duration // time past the deadline in which a final answer still counts
+	StopSendingWithin time.Duration // grace for sends to a draining or gone backend
+	FallMultiple      float64       // a cold backend falls over when sent this many times its capacity ...
+	FallWindow        time.Duration // ... for this long
+	ColdFrom          float64       // a started backend has this share of its capacity or more
+	WarmWithin        time.Duration // and is warm after this
+
+	Counter        bool          // Count is allowed
+	CounterTimeout time.Duration // a Count with no answer by then ends as Timeout
+	MaxUnits       float64       // the most units one request counts
+	TruedUp        bool          // Request.Units is a guess; Outcome.Units tells the true ones
+}
+
+// Status says how an attempt, a probe or a counter call ended.
+type Status int
+
+const (
+	Failed        Status = iota // the backend answered with an error; it may have run
+	OK                          // served
+	Full                        // turned away unseen
+	Timeout                     // no answer in time; it may have run
+	ConnectFailed               // no connection; it never ran
+	Reset                       // the connection broke; it may have run
+	Cancelled                   // called off; it may have run
+	Moot                        // not sent
+)
+
+// State is what discovery says of a backend.
+type State int
+
+const (
+	InService State = iota
+	Terminating
+	Terminated
+)
+
+// Backend is an entry of the list of backends.
+type Backend struct {
+	Name    string
+	Zone    int
+	Kind    int
+	Cell    int
+	State   State
+	Weight  float64       // to compare with other backends'; 0 counts as 1
+	Started time.Duration // when it last started, on the caller's clock; 0: long ago
+}
+
+// Scope says what a List holds.
+type Scope int
+
+const (
+	Delta      Scope = iota // changed entries only
+	Whole                   // the whole list
+	Cached                  // the whole list as last had, maybe old
+	ListFailed              // a Watch or Fetch failed; no entries
+)
+
+// Event is something that happened: one of the types below that name it.
+type Event interface{ event() }
+
+// Request has reached this door, which now owes one final answer. IDs never come twice.
+type Request struct {
+	ID       uint64
+	Class    int
+	Plan     int
+	Customer string
+	Left     time.Duration // until the client gives up on this try
+	Units    float64       // units it takes from the quota
+	Doors    int           // doors through which this customer's requests come; 0: all
+	Retry    bool          // a client's repeat, where clients mark it
+}
+
+// Outcome ends one attempt. Every Send gets exactly one.
+type Outcome struct {
+	ID      uint64
+	Attempt int
+	Backend string
+	Status  Status
+	Latency time.Duration // since it was sent
+	Closed  bool          // the request is over
+	Used    int           // 1 + percent of the customer's quota used of late by all doors; 0: not told
+	Units   float64       // with Settings.TruedUp: the true units, on the first OK
+}
+
+// FirstByte says that a streamed answer has begun; its deadline no longer runs.
+type FirstByte struct {
+	ID      uint64
+	Attempt int
+}
+
+// Gone ends a request whose client has left.
+type Gone struct{ ID uint64 }
+
+// Counted answers one Count.
+type Counted struct {
+	Name   uint64
+	Status Status // OK; Full or ConnectFailed: nothing was added; Timeout: it may have been
+	Total  float64
+}
+
+// Timer is due.
+type Timer struct{ Cookie uint64 }
+
+// List brings news of the backends.
+type List struct {
+	Scope   Scope
+	Entries []Backend
+}
+
+// Probed is the result of one Probe.
+type Probed struct {
+	Backend string
+	Status  Status
+}
+
+// Message is a message from another door. The module passes it over.
+type Message struct{ From int }
+
+func (Request) event()   {}
+func (Outcome) event()   {}
+func (FirstByte) event() {}
+func (Gone) event()      {}
+func (Counted) event()   {}
+func (Timer) event()     {}
+func (List) event()      {}
+func (Probed) event()    {}
+func (Message) event()   {}
+
+// Action is something the caller must do: one of the types below that name it.
+type Action interface{ action() }
+
+// Send starts an attempt. Attempts of a request are numbered 0, 1, 2 in the order of their Sends.
+type Send struct {
+	ID      uint64
+	Backend string
+	Timeout time.Duration // the attempt ends as Timeout after this
+}
+
+// Refuse is the final answer: turned away, trying again is harmless.
+type Refuse struct {
+	ID    uint64
+	Pause time.Duration // how long the client should stay away; 0: no advice
+}
+
+// Fail is the final answer: failed, with no promise about its effect.
+type Fail struct{ ID uint64 }
+
+// Cancel stops waiting for an attempt, whose Outcome still comes.
+type Cancel struct {
+	ID      uint64
+	Attempt int
+}
+
+// Probe checks a backend; a Probed answers it.
+type Probe struct{ Backend string }
+
+// Count adds Amount to a number shared by all doors; a Counted answers it.
+type Count struct {
+	Name   uint64
+	Amount float64
+	Keep   time.Duration // a new name is forgotten after this
+}
+
+// SetTimer asks for a Timer event at or after At.
+type SetTimer struct {
+	At     time.Duration
+	Cookie uint64
+}
+
+// Watch asks for changes of the list from now on.
+type Watch struct{}
+
+// Fetch asks for the whole list once.
+type Fetch struct{}
+
+// Log is a line for people.
+type Log struct{ Text string }
+
+func (Send) action()     {}
+func (Refuse) action()   {}
+func (Fail) action()     {}
+func (Cancel) action()   {}
+func (Probe) action()    {}
+func (Count) action()    {}
+func (SetTimer) action() {}
+func (Watch) action()    {}
+func (Fetch) action()    {}
+func (Log) action()      {}
--- /dev/null
+++ b/door.go
@@ -0,0 +1,890 @@
+package snowhall
+
+// The decisions of a door. The types are in api.go. The mechanism is that of J. Andersson and M. Kihl, "Load
+// Balancing and Admission Control of a Parlay X Application Server", NTS 17, 2004, sections 3.1 and 4: a
+// token bucket promotes what the contract guarantees (stage 2), round robin picks a server (stage 3),
+// and tests of measured latency against the time limit decide what is released and what is refused (stage 4).
+//
+// The path of a request: admit -> serve/pay (tokens of a lease promote it) -> place (a server's level queue)
+// -> fill/pick (a slot frees: stale test EQ 3, level sum EQ 4) -> send (guards) -> outcome -> retry or end.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Tuned values. Where no source is named, they are ours and were compared on simulated days only.
+const (
+	margin      = 0.9                     // f of EQ 3 and EQ 4 (the design page)
+	patience    = 0.5                     // share of tau*f that a request may be expected to take on joining
+	bands       = 6                       // levels by worth, each half the worth of the one above
+	lowest      = 2 * bands               // level of what is beyond a soft quota; promoted bands come first
+	priorShare  = 0.1                     // latency before the first answer, as a share of the aim
+	baseGain    = 0.03                    // weight of an answer in a class's mean latency: a second's worth
+	slowGain    = 0.15                    // weight of an answer in a server's slowness against its peers
+	evidence    = 1.0                     // answers a second of each server that make what is known current
+	fleetOver   = 2.0                     // else the answers of all servers are averaged over these seconds ...
+	fleetMost   = 0.2                     // ... one weighing this at most ...
+	fleetWorst  = 4.0                     // ... and counting as this many of its class's means ...
+	fleetFull   = 6.0                     // ... a refusal by a server as these
+	thinFrom    = 0.25                    // part of tau*f that waiting in servers takes when some are refused
+	thinAll     = 0.6                     // ... and at which all are ...
+	thinMost    = 0.97                    // ... but for a few, whose answers tell when it is over
+	thinSlope   = 1.5                     // what the lowest level adds to that part, as a multiple
+	slotsStart  = 4.0                     // slots of a server at first, over all doors
+	slotsMost   = 32.0                    // slots at most
+	slotsLeast  = 0.1                     // and at least: under one, pauses between sends
+	growBy      = 0.5                     // slots gained by each answer in time, over the slots
+	shrinkAbove = 0.4                     // slots shrink when latency is over this share of tau*f ...
+	shrinkRatio = 2.2                     // ... or this many times an idle fleet's latency, and grow ...
+	growShare   = 0.7                     // ... while it is under this share of both ("well under")
+	squeezed    = 3.0                     // slots over all doors at which waiting can't explain latency
+	floorGain   = 0.015                   // weight of an answer by which the idle latency then rises
+	shrinkBy    = 0.93                    // factor for each late answer
+	lateBy      = 0.8                     // factor for an attempt out of time: it may still hold its place
+	fullBy      = 0.7                     // factor for a refusal or a broken connection
+	leaseAhead  = 1500 * time.Millisecond // demand that one lease should cover: few calls
+	atOnceRoom  = 0.5                     // attempts that other doors may have out beyond their mean
+	ceilWait    = 0.3                     // part of its time that a request waits for the ceiling's share
+	askAhead    = 300 * time.Millisecond  // demand the tokens left must cover, else the next is asked for
+	demandOver  = 2 * time.Second         // demand is averaged over this
+	leaseLife   = 3 * time.Second         // tokens not spent by then are given back with the next call
+	windowLen   = 30 * time.Second        // a counter's name serves this long ...
+	keepFor     = 50 * time.Second        // ... and is kept this long (the counter keeps nothing over 60 s)
+	mostAsks    = 32                      // counter calls out at once
+	standsFor   = 3.0                     // requests that one call of a thin customer stands for at most
+	callsLeast  = 0.1                     // part of the requests without tokens that call, at least
+	callTakes   = 0.7                     // part of its time-out that a call should take at most ...
+	callsGrow   = 0.2                     // ... else fewer call; growth of their part by an instant answer
+	callsCut    = 0.8                     // factor for each call failed
+	overfull    = 0.5                     // parts of a burst over its most at which a store is put right
+	emptyDoors  = 4.0                     // doors that an empty store serves in the time it gains a unit
+	emptyMost   = 8 * time.Second         // and no door waits longer than this to ask again
+	callsFew    = 0.2                     // part at which the counter is taken to be silent or swamped
+	counterTry  = 100 * time.Millisecond  // pause between calls that then test it, at least ...
+	counterEach = 5 * time.Millisecond    // ... and for each door
+	aheadLeast  = 2.0                     // requests in a lease's life from which the next lease is asked ahead
+	tick        = 20 * time.Millisecond   // pace of the checks that no event brings
+	stalled     = 5 * tick                // a check that comes so late says that this door stood still
+	quietSum    = 12.0                    // waits of all attempts out, in latencies, that mean silence ...
+	quietLeast  = 200 * time.Millisecond  // and no silence is shorter than this
+	quietEach   = 5.0                     // ... one attempt adding no more (it may be a costly one)
+	trialFirst  = 400 * time.Millisecond  // pause before the first trial of an ejected server
+	trialMost   = 2 * time.Second         // and the longest later one
+	trialEach   = 50 * time.Millisecond   // ... and for each door
+	trialRoom   = 7.0                     // latencies of time that a request must have to serve as a trial ...
+	trialWait   = 4.0                     // ... and that the trial may take of it
+	restartTime = 2 * time.Second         // a server silent for longer may have been started anew
+	rateOver    = 3.0                     // seconds over which the sends to a warm server are averaged
+	coldMargin  = 0.6                     // share of the cold budget that is used: work differs from mean work
+	forgetAfter = 60 * time.Second        // an idle customer is forgotten
+)
+
+// prime sets what a door takes for granted before it has seen anything.
+func (d *Door) prime() {
+	d.fleet = 1
+	if d.set.Counter {
+		d.callShare = 1
+	}
+	for i, c := range d.set.Classes {
+		d.base[i] = max(0.001, cmp.Or(c.Aim, c.GiveUp).Seconds()*priorShare)
+		for _, p := range d.set.Plans {
+			d.topWorth = max(d.topWorth, c.Worth*p.Factor*max(1, d.set.MaxUnits))
+		}
+	}
+	d.act(SetTimer{d.now + tick, 0})
+	if d.set.OnRequest {
+		d.act(Watch{})
+	}
+}
+
+// admit takes a request in. Its tau is the time left, bounded by the aim where a late answer earns nothing
+// (a departure: the paper knows one limit; here the client waits longer than the answer has worth).
+func (d *Door) admit(ev Request) {
+	if d.reqs[ev.ID] != nil {
+		return
+	}
+	if ev.Class < 0 || ev.Class >= len(d.set.Classes) || ev.Plan < 0 || ev.Plan >= len(d.set.Plans) {
+		d.act(Refuse{ID: ev.ID})
+		return
+	}
+	cl := &d.set.Classes[ev.Class]
+	r := &request{id: ev.ID, class: ev.Class, plan: ev.Plan, units: max(0, ev.Units), at: d.now, tau: ev.Left,
+		retry: ev.Retry}
+	if cl.LateWorth == 0 && cl.Aim > 0 {
+		r.tau = min(r.tau, cl.Aim)
+	}
+	// What a door finds after it stood still has waited: first tries of a class have the same time at first.
+	d.mostLeft[ev.Class] = max(d.mostLeft[ev.Class], ev.Left)
+	if d.now-d.lastAt > stalled && !ev.Retry {
+		r.tau = min(r.tau, cl.Aim-min(d.now-d.lastAt, d.mostLeft[ev.Class]-ev.Left))
+	}
+	r.c = d.customer(ev)
+	d.reqs[r.id] = r
+	if r.tau.Seconds() <= d.latency(r, nil)/2 {
+		d.refuse(r, 0)
+		return
+	}
+	d.act(SetTimer{d.now + r.tau - d.set.Resolution, r.id<<1 | 1})
+	r.c.usedAt = d.now
+	gap := (d.now - r.c.demandAt).Seconds() / demandOver.Seconds()
+	r.c.demand = r.c.demand*math.Exp(-gap) + r.units/demandOver.Seconds()
+	r.c.demandAt = d.now
+	r.c.waiting = append(r.c.waiting, r)
+	d.serve(r.c)
+}
+
+// serve decides for a customer's requests in the order they came, until one has to wait: for the counter's
+// answer, for one of the customer's attempts to end, or for the ceiling's share to fill.
+func (d *Door) serve(c *customer) {
+	for len(c.waiting) > 0 {
+		r := c.waiting[0]
+		if r.ended {
+			c.waiting = c.waiting[1:]
+			continue
+		}
+		v := d.pay(r)
+		if v == wait {
+			break
+		}
+		c.waiting = c.waiting[1:]
+		if v == beyond {
+			d.beyond(r)
+		} else {
+			d.place(r)
+		}
+	}
+	if len(c.waiting) > 0 && !c.listed {
+		c.listed = true
+		d.waiters = append(d.waiters, c)
+	}
+}
+
+// pay promotes a request whose units are in the local tokens (stage 2 of the paper). A request without quota
+// keeps its level by worth.
+func (d *Door) pay(r *request) verdict {
+	c, p := r.c, &d.set.Plans[r.plan]
+	late := (d.now-r.at).Seconds()+d.latency(r, nil) >= r.tau.Seconds()*margin
+	full := p.AtOnce > 0 && c.live >= d.atOnce(r, p)
+	if short := r.units + c.ceilQueued - d.ceiling(c, p); full || short > 0 {
+		fills := short * c.doors / p.CeilingRate // seconds
+		if late || !full && p.OverWorth > p.OverCost && fills > r.tau.Seconds()*ceilWait {
+			return beyond
+		}
+		return wait
+	}
+	worth := max(1e-9, d.set.Classes[r.class].Worth*p.Factor*r.units)
+	band := min(bands-1, max(0, int(math.Log2(d.topWorth/worth))))
+	r.level = band
+	if p.Rate > 0 {
+		if v := d.spend(r, p); v != paid {
+			return v
+		} else if r.unsure {
+			r.level += bands
+		}
+	} else if p.AtOnce == 0 {
+		r.level += bands
+	}
+	r.paid = r.level < bands
+	if p.AtOnce > 0 {
+		r.live = true
+		c.live++
+	}
+	d.hold(r)
+	return paid
+}
+
+// atOnce is how many of a customer's requests may be under way here: this door's share of the cap, or, where
+// the counter tells that the others have less, what their demand leaves (a departure: traffic is uneven).
+func (d *Door) atOnce(r *request, p *Plan) int {
+	share := float64(p.AtOnce) / r.c.doors
+	if r.c.known && d.callShare > callsFew {
+		share = max(share, float64(p.AtOnce)-r.c.others/max(r.units, 1)*d.latency(r, nil)-atOnceRoom-p.OverCost)
+	}
+	return max(1, int(share))
+}
+
+// beyond decides for a request that no tokens pay.
+func (d *Door) beyond(r *request) {
+	p := &d.set.Plans[r.plan]
+	if p.OverWorth <= p.OverCost || d.ceiling(r.c, p)-r.c.ceilQueued < r.units {
+		d.refuse(r, d.refill(r.c, p, r.units))
+		return
+	}
+	r.level = lowest
+	d.hold(r)
+	d.place(r)
+}
+
+// spend takes units from the lease, else from this door's own share, and calls the counter for more. The
+// store itself lies on the counter: all that leaves it, spent or overflowed, is added, so one call tells its
+// level to a door that has never seen the customer. Only a part of the requests calls, as large as the
+// counter can serve; each such call stands for the others too, and these go by the door's share, into debt by
+// one request (a departure: at many doors a share is less than one). What was just seen empty is not asked
+// again until the customer's doors, taken together, would find it filled.
+func (d *Door) spend(r *request, p *Plan) verdict {
+	c := r.c
+	if c.tokens > 0 && d.now-c.grantAt > leaseLife && !c.asking {
+		c.owed -= c.tokens // what the store holds now may differ from what it held then
+		c.tokens = 0
+	}
+	fill := p.Rate / c.doors * (1 - d.callShare) * (d.now - c.spareAt).Seconds()
+	c.spare, c.spareAt = min(max(c.spare, p.Burst/c.doors), c.spare+fill), d.now
+	calls := d.set.Counter && !r.asked && d.now >= c.emptyUntil && d.mayCall()
+	switch {
+	case c.tokens >= r.units:
+		c.tokens -= r.units
+		if use := c.demand * leaseLife.Seconds(); calls && !c.asking && c.tokens < c.demand*askAhead.Seconds() &&
+			use >= aheadLeast*r.units {
+			d.ask(c, p, r.units)
+		}
+		return paid
+	case c.spare+max(0, c.tokens) >= r.units:
+		c.spare -= r.units - max(0, c.tokens)
+		c.owed += r.units - max(0, c.tokens)
+		c.tokens = min(0, c.tokens)
+		return paid
+	case c.asking:
+		return wait
+	case calls && (d.rng.Float64() < d.callShare || c.spare <= 0 && !r.retry && d.callShare > callsFew):
+		r.asked = true
+		d.ask(c, p, r.units)
+		return wait
+	case d.now >= c.emptyUntil && c.spare > 0 && (!r.retry || !d.set.Counter):
+		c.spare -= r.units
+		r.unsure = true
+		return paid
+	}
+	return beyond
+}
+
+// mayCall says that the counter can be asked: it answers, or this door's turn to test it has come.
+func (d *Door) mayCall() bool {
+	pause := max(counterTry, time.Duration(d.set.Doors)*counterEach)
+	return len(d.asks) < mostAsks && (d.callShare > callsFew || d.now-d.counterAt >= pause)
+}
+
+// ask adds a block on the counter: the units, or what this door's demand will use.
+func (d *Door) ask(c *customer, p *Plan, units float64) {
+	block := max(units, math.Floor(min(c.demand*leaseAhead.Seconds(), d.level(c, p)/c.doors)))
+	c.asking, d.counterAt = true, d.now
+	d.call(c, block, block/max(d.callShare, 1/standsFor)+c.owed, c.owed)
+	c.owed = 0
+}
+
+// counted settles a call. The counter's state shows in its answers alone: each in time lets a larger part of
+// the requests call, each late or failed one a smaller.
+func (d *Door) counted(ev Counted) {
+	k := d.answered(ev.Name)
+	if k == nil {
+		return
+	}
+	if ev.Status != OK {
+		d.callShare = max(callsLeast, d.callShare*callsCut)
+	} else {
+		took := (d.now - k.at).Seconds() / d.set.CounterTimeout.Seconds()
+		d.callShare = min(1, max(callsFew, d.callShare*(1+callsGrow*(1-took/callTakes))))
+	}
+	if k.block > 0 {
+		k.c.asking = false
+		if ev.Status == OK {
+			d.grant(k, ev.Total)
+		} else if ev.Status != Timeout {
+			k.c.owed += k.owed
+		}
+	}
+	d.serve(k.c)
+}
+
+// grant turns a total into tokens. What the store held over its burst has overflowed, and what it seems to
+// have gained over its rate since the last look the counter has lost: both are added, if worth a call. What
+// the store did not hold is given back.
+func (d *Door) grant(k *call, total float64) {
+	c := k.c
+	p := &d.set.Plans[c.plan]
+	held := p.Burst + p.Rate*(d.now-time.Duration(k.window)*windowLen).Seconds() - total + k.amount
+	most := p.Burst
+	if c.known {
+		most = d.level(c, p)
+		if gap := (d.now - c.storeAt).Seconds(); gap > 0 {
+			c.others += (1 - math.Exp(-gap/demandOver.Seconds())) * (max(0, most-held)/gap - c.others)
+		}
+	}
+	if held > most+p.Burst*overfull {
+		d.call(c, 0, held-most, 0)
+		held = most
+	}
+	got := max(0, min(k.block, held-k.owed))
+	if got < k.block {
+		if d.thin() == 0 && c.demand*leaseLife.Seconds() >= aheadLeast*k.block { // another call comes soon
+			c.owed += got + k.owed - k.amount
+		} else {
+			d.call(c, 0, got+k.owed-k.amount, 0)
+		}
+		k.amount = got + k.owed
+		pause := max(k.block-held, c.doors/emptyDoors) / p.Rate
+		c.emptyUntil = d.now + min(emptyMost, time.Duration(pause*float64(time.Second)))
+	}
+	if !c.known {
+		c.known, c.spare = true, min(c.spare, 0)
+	}
+	c.store, c.storeAt = max(held-k.amount, -p.Burst/2), d.now
+	c.tokens, c.grantAt = c.tokens+got, d.now
+}
+
+// ceiling fills and tells this door's share of the customer's ceiling: rate and depth divided by the doors. A
+// fresh door may have spent its share before it was restarted, so it starts empty.
+func (d *Door) ceiling(c *customer, p *Plan) float64 {
+	if p.CeilingRate == 0 {
+		return math.Inf(1)
+	}
+	c.ceil += p.CeilingRate / c.doors * (d.now - c.ceilAt).Seconds()
+	c.ceil, c.ceilAt = min(c.ceil, p.CeilingDepth/c.doors), d.now
+	return c.ceil
+}
+
+// latency is the time an answer takes, by recent ones: the class's mean times the server's slowness.
+func (d *Door) latency(r *request, s *server) float64 {
+	if s != nil {
+		return d.base[r.class] * s.slow
+	}
+	return d.base[r.class]
+}
+
+// thin says from 0 to 1 how little a door learns of one server by its own sends.
+func (d *Door) thin() float64 { return 1 - min(1, d.rate/evidence) }
+
+// choose picks a server: round robin, passing over one on which more work waits for its weight and speed, and
+// one in its pause. Where a door sends to each so rarely that what it knows is old or luck, chance has a part
+// (a departure: then all doors together give each server by its weight and speed; none is found by all).
+func (d *Door) choose(r *request) *server {
+	var best *server
+	low, chance := math.Inf(1), d.thin()
+	d.turn++
+	for i := range d.ring {
+		s := d.ring[(d.turn+i)%len(d.ring)]
+		if !s.usable() || !d.mayRepeat(r, s) {
+			continue
+		}
+		cost := (float64(len(s.outs)+s.queued) + 1) * s.slow / (s.weight * d.warmth(s))
+		if s.zone != d.set.Zone {
+			cost *= 1.05
+		}
+		if chance > 0 {
+			cost *= 1 - chance + chance*d.rng.ExpFloat64()
+		}
+		if !d.free(s) {
+			cost = cost*10/min(1, s.slots) + 1e3
+		}
+		if d.coldFull(s) {
+			cost += 1e6
+		}
+		if cost < low-1e-9 {
+			best, low = s, cost
+		}
+	}
+	return best
+}
+
+// mayRepeat says whether a request that may have run can go to a server (rule 2).
+func (d *Door) mayRepeat(r *request, s *server) bool {
+	if !r.ran {
+		return true
+	}
+	cl := &d.set.Classes[r.class]
+	if cl.Effect != Keyed {
+		return cl.Effect == Safe
+	}
+	return d.now < r.ranAt+cl.Window && (cl.Group == GroupAll ||
+		s.zone == r.ranOn.zone && (cl.Group == GroupZone || s.cell == r.ranOn.cell))
+}
+
+// place queues a request at a server and releases what may go.
+func (d *Door) place(r *request) {
+	if t := d.trialServer(r); t != nil {
+		d.send(r, t, true)
+		return
+	}
+	s := d.choose(r)
+	if s == nil && !r.ran {
+		d.stuck = append(d.stuck, r)
+		return
+	}
+	if s == nil || d.hopeless(r, s) {
+		d.refuse(r, 0)
+		return
+	}
+	d.push(r, s)
+	d.fill(s)
+}
+
+// hopeless is EQ 4 seen from the back of the queue: what would come to wait for most of its time is refused
+// while the client can still try again in time (a departure: the paper lets it wait until it is stale; under
+// overload every answer then comes at the last moment, and each client's next try too late).
+func (d *Door) hopeless(r *request, s *server) bool {
+	if d.free(s) { // with many doors the queue is inside the servers, and latency tells of it (a departure)
+		lat := d.base[r.class] * max(1, d.fleet)
+		idle := cmp.Or(d.floor[r.class], lat)
+		part := (lat - idle) / max(1e-3, r.tau.Seconds()*margin-idle) *
+			(1 + thinSlope*float64(r.level)/lowest)
+		return d.rng.Float64() < min(1, 2*d.thin())*min(thinMost, (part-thinFrom)/(thinAll-thinFrom))
+	}
+	if len(r.attempts) > 0 {
+		return false
+	}
+	ahead := 1
+	for l := 0; l <= r.level; l++ {
+		ahead += s.count[l]
+	}
+	lat := d.latency(r, s)
+	share := patience * (1 - float64(r.level)/(2*bands)) // the lower the level, the sooner
+	return (d.now-r.at).Seconds()+float64(ahead)*lat/s.slots+lat >= r.tau.Seconds()*margin*share
+}
+
+// free says whether a server has a free slot. Less than one slot means a pause between sends: with many doors
+// even one request each can be too much, and what a server turns away costs it work as well.
+func (d *Door) free(s *server) bool {
+	return len(s.outs) < max(1, int(s.slots)) && d.now >= s.restUntil
+}
+
+// fill releases requests to a server while it has a slot. With nothing queued it helps the longest queue.
+func (d *Door) fill(s *server) {
+	for s.usable() && d.free(s) && !d.coldFull(s) {
+		from := s
+		if s.queued == 0 && d.queued == 0 {
+			return
+		} else if s.queued == 0 {
+			for _, o := range d.ring {
+				if o.queued > from.queued && !d.free(o) {
+					from = o
+				}
+			}
+		}
+		r := d.pick(from, s)
+		if r == nil {
+			return
+		}
+		d.unqueue(r)
+		d.send(r, s, false)
+	}
+}
+
+// pick chooses from the queues of one server for a slot of another (mostly the same). EQ 3 refuses what is
+// stale, in the promoted levels too (a departure: what no longer can be in time only delays the rest). EQ 4
+// goes down the levels while their summed counts, times the latency and over the slots, stay under tau*f; the
+// first level with a request is always open. The oldest request of the open levels goes.
+func (d *Door) pick(from, to *server) *request {
+	var best *request
+	sum := 0
+	for l := range from.queue {
+		for from.count[l] > 0 {
+			r := from.head(l)
+			if (d.now-r.at).Seconds()+d.latency(r, to) < r.tau.Seconds()*margin {
+				break
+			}
+			d.refuse(r, 0)
+		}
+		if from.count[l] == 0 {
+			continue
+		}
+		r := from.head(l)
+		sum += from.count[l]
+		ahead := float64(sum + len(to.outs))
+		if best != nil && ahead*d.latency(r, to)/to.slots >= r.tau.Seconds()*margin*patience {
+			break
+		}
+		if (best == nil || r.at < best.at) && d.mayRepeat(r, to) {
+			best = r
+		}
+	}
+	return best
+}
+
+// coldFull says that a cold server has had its budget: this door's share of multiple x present capacity x
+// window, the capacity taken for no more than what a warm server is seen to carry. A share of under one send
+// (a departure: many doors) is a rarer turn, the first at a time by chance, as all doors learn of a start
+// together. It can leave a server that only this door knows of idle for a while.
+func (d *Door) coldFull(s *server) bool {
+	w := d.warmth(s)
+	if w >= 1 {
+		return false
+	}
+	span := d.set.FallWindow.Seconds()
+	budget := coldMargin * d.set.FallMultiple * w * d.rate * s.weight * span
+	if budget < 1 {
+		span = min(span/budget, d.set.WarmWithin.Seconds())
+		budget = 1
+		if s.coldTurn == 0 {
+			s.coldTurn = d.now + time.Duration(d.rng.Float64()*span*float64(time.Second))
+		}
+	}
+	for len(s.recent) > 0 && (d.now-s.recent[0]).Seconds() >= span {
+		s.recent = s.recent[1:]
+	}
+	return float64(len(s.recent)) >= budget || d.now < s.coldTurn
+}
+
+// send is the one place that sends. The guards come last here, whatever was decided before.
+func (d *Door) send(r *request, s *server, trial bool) {
+	p := &d.set.Plans[r.plan]
+	switch {
+	case !s.listed: // drain: nothing new from the moment it is told
+		d.place(r)
+		return
+	case r.out > 0 || len(r.attempts) >= d.set.MaxAttempts || !d.mayRepeat(r, s) || d.now >= r.at+r.tau:
+		d.refuse(r, 0)
+		return
+	}
+	if len(r.attempts) == 0 {
+		if d.ceiling(r.c, p) < r.units {
+			d.refuse(r, d.refill(r.c, p, r.units))
+			return
+		}
+		r.c.ceil -= r.units
+	}
+	d.release(r)
+	a := &attempt{r: r, no: len(r.attempts), s: s, at: d.now, trial: trial, open: true}
+	limit := r.at + r.tau - d.now
+	if trial {
+		s.trying = true
+		limit = min(limit, time.Duration(trialWait*d.base[r.class]*float64(time.Second)))
+	}
+	if len(s.outs) == 0 {
+		s.heard = max(s.heard, d.now)
+	}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	s.outs = append(s.outs, a)
+	if s.cold {
+		s.recent = append(s.recent, d.now)
+	}
+	d.act(Send{r.id, s.name, limit})
+}
+
+// outcome takes the end of an attempt.
+func (d *Door) outcome(ev Outcome) {
+	r := d.reqs[ev.ID]
+	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) || !r.attempts[ev.Attempt].open {
+		return
+	}
+	a := r.attempts[ev.Attempt]
+	a.open = false
+	r.out--
+	s := a.s
+	s.outs = slices.DeleteFunc(s.outs, func(o *attempt) bool { return o == a })
+	if !r.ran && ev.Status != Full && ev.Status != ConnectFailed && ev.Status != Moot {
+		r.ran, r.ranAt, r.ranOn = true, a.at, s
+	}
+	d.learn(s, a, ev)
+	if ev.Status == OK && d.set.TruedUp && ev.Units > 0 && r.paid {
+		r.c.tokens -= ev.Units - r.units
+	}
+	if ev.Closed || ev.Status == OK {
+		d.end(r)
+	}
+	if r.ended {
+		d.forget(r)
+	} else if !r.stream && r.out == 0 {
+		d.retry(r)
+	}
+	d.fill(s)
+}
+
+// retry sends a request on again where its class allows it and an answer could still be in time.
+func (d *Door) retry(r *request) {
+	if len(r.attempts) >= d.set.MaxAttempts || (d.now-r.at).Seconds()+d.latency(r, nil) >= r.tau.Seconds() {
+		d.refuse(r, 0)
+		return
+	}
+	d.place(r)
+}
+
+// learn takes what an outcome tells of a server: latency, slots, signs of life.
+func (d *Door) learn(s *server, a *attempt, ev Outcome) {
+	class, took := a.r.class, max(1e-3, ev.Latency.Seconds()) // within a tick counts as a millisecond
+	ratio := min(took/d.base[class], 8)                       // one costly request says little of its server
+	news := min(ratio, fleetWorst)
+	if ev.Status == OK || ev.Status == Full || ev.Status == Timeout && !s.ejected {
+		if ev.Status == Full {
+			news = fleetFull
+		}
+		d.fleet += min(fleetMost, (d.now-d.fleetAt).Seconds()/fleetOver) * (news - d.fleet)
+		d.fleetAt = d.now
+	}
+	switch ev.Status {
+	case Reset, ConnectFailed:
+		s.fails++
+		s.slots *= fullBy
+		if s.fails >= 2 && !s.ejected {
+			d.eject(s)
+		}
+	case Timeout:
+		if !s.ejected {
+			s.lost++
+			s.slow += slowGain * (ratio - s.slow)
+			s.slots *= lateBy
+		}
+	case OK, Failed, Full:
+		s.heard, s.lost, s.fails = d.now, 0, 0
+		if s.ejected {
+			d.restore(s, a.trial)
+		}
+	}
+	switch ev.Status {
+	case Full:
+		s.slots = min(1, s.slots) * fullBy
+	case OK:
+		s.slow = max(0.2, s.slow+slowGain*(ratio-s.slow))
+		if !s.cold {
+			d.rateAdd()
+		}
+		d.answers[class]++
+		d.base[class] += max(baseGain, 1/float64(d.answers[class])) * (took - d.base[class])
+		d.pace(s, a.r)
+	}
+	if a.trial && s.ejected {
+		d.nextTrial(s)
+	}
+	s.slots = max(slotsLeast, s.slots)
+	if s.slots < 1 && d.now >= s.restUntil {
+		rest := d.latency(a.r, s) * (1/s.slots - 1)
+		s.restUntil = d.now + time.Duration(rest*float64(time.Second))
+	}
+}
+
+// pace grows the slots while latency is well under tau*f and all are in use, and shrinks them when it is not.
+// It also keeps latency near that of an idle fleet (a departure: tau*f alone lets queues form inside the
+// servers, where no level counts and where work that nobody waits for any more goes on). That floor follows
+// the class's mean down at once, and up only while so few slots are open that waiting can't be the cause: so
+// a slowness of everything is told from overload.
+func (d *Door) pace(s *server, r *request) {
+	floor := &d.floor[r.class]
+	if d.base[r.class] < *floor || *floor == 0 {
+		*floor = d.base[r.class]
+	} else if s.slots*float64(d.set.Doors) <= squeezed {
+		*floor += floorGain * (d.base[r.class] - *floor)
+	}
+	high := min(r.tau.Seconds()*margin*shrinkAbove, shrinkRatio**floor)
+	switch lat := d.latency(r, s); {
+	case lat > high && s.slots*float64(d.set.Doors) > 0.7*squeezed:
+		s.slots *= shrinkBy
+	case lat < high*growShare && len(s.outs)+1 >= int(s.slots):
+		s.slots = min(slotsMost, s.slots+growBy/max(1, s.slots))
+	}
+}
+
+// refuse gives the final answer: a refusal where the rules let it be said, else a failure (rule 2).
+func (d *Door) refuse(r *request, pause time.Duration) {
+	if r.ended {
+		return
+	}
+	cl := &d.set.Classes[r.class]
+	mayHaveRun := r.ran || r.out > 0
+	d.end(r)
+	if mayHaveRun && (cl.Effect == Unsafe || cl.Effect == Keyed && cl.Group != GroupAll) {
+		d.act(Fail{r.id})
+	} else {
+		if !d.set.RetryAfter {
+			pause = 0
+		}
+		d.act(Refuse{r.id, min(pause, d.set.MaxRetryAfter)})
+	}
+	d.forget(r)
+}
+
+// end marks a request as over and calls off what is still out.
+func (d *Door) end(r *request) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	d.unqueue(r)
+	d.release(r)
+	for _, a := range r.attempts {
+		if a.open && d.set.MayCancel && !r.stream {
+			d.act(Cancel{r.id, a.no})
+		}
+	}
+	if len(r.attempts) == 0 && r.paid && d.set.Plans[r.plan].Rate > 0 {
+		r.c.tokens += r.units
+	}
+	if r.live {
+		r.live = false
+		r.c.live--
+		d.serve(r.c)
+	}
+	d.forget(r)
+}
+
+// beat looks for what no event tells: silence, waiting customers, free slots.
+func (d *Door) beat() {
+	d.act(SetTimer{d.now + tick, 0})
+	for _, s := range d.ring {
+		if d.now-d.beatAt < stalled { // else this door stood still, and what came meanwhile is not yet read
+			d.watchServer(s)
+		}
+	}
+	d.beatAt = d.now
+	stuck := d.stuck
+	d.stuck = nil
+	for _, r := range stuck {
+		if !r.ended {
+			d.place(r)
+		}
+	}
+	if d.queued > 0 {
+		for _, s := range d.ring {
+			d.fill(s)
+		}
+	}
+	list := d.waiters
+	d.waiters = nil
+	for _, c := range list {
+		c.listed = false
+		d.serve(c)
+	}
+	d.forgetCustomers()
+	if d.set.OnRequest && d.set.AskEvery > 0 && d.now-d.listAt > d.set.AskEvery/2 {
+		d.listAt = d.now
+		d.act(Fetch{})
+	}
+}
+
+// watchServer finds a server silent when the attempts out there have waited, summed up, far longer than
+// answers take while nothing was heard. It covers hung, cut off and stopped machines. If fewer than a quarter
+// of the servers answer, it is not this server's fault. It could harm a server that got several costly
+// requests in a row; the first late answer brings such a one back.
+func (d *Door) watchServer(s *server) {
+	if s.ejected {
+		if s.listed && d.set.MayProbe && d.now >= s.trialAt && !s.trying {
+			s.trying = true
+			d.act(Probe{s.name})
+		}
+		return
+	}
+	sum := quietEach * float64(s.lost)
+	for _, a := range s.outs {
+		quiet := (d.now - max(a.at, s.heard)).Seconds()
+		sum += min(quietEach, quiet/d.latency(a.r, s))
+	}
+	if sum < quietSum || d.now-s.heard < quietLeast {
+		return
+	}
+	live := 0
+	for _, o := range d.ring {
+		if o.usable() && d.now-o.heard < d.now-s.heard && d.now-o.heard < 500*time.Millisecond {
+			live++
+		}
+	}
+	if 4*live >= len(d.ring) && live > 0 {
+		d.eject(s)
+	}
+}
+
+// eject stops new work to a server, moves its queue on and calls back what could still be served elsewhere.
+func (d *Door) eject(s *server) {
+	s.ejected, s.trying = true, false
+	s.trialPause = max(trialFirst, time.Duration(d.rng.Int64N(int64(d.set.Doors)*int64(trialEach))))
+	s.trialAt = d.now + s.trialPause
+	d.act(Log{"no longer used: " + s.name})
+	d.moveQueue(s)
+	if !d.set.MayCancel {
+		return
+	}
+	for _, a := range s.outs {
+		if !a.r.ended && !a.r.stream && (d.now-a.r.at).Seconds()+d.latency(a.r, nil) < a.r.tau.Seconds() {
+			d.act(Cancel{a.r.id, a.no})
+		}
+	}
+}
+
+func (d *Door) nextTrial(s *server) {
+	s.trying = false
+	s.trialPause = min(max(trialMost, time.Duration(d.set.Doors)*trialEach), s.trialPause*3/2)
+	s.trialAt = d.now + s.trialPause
+}
+
+// trialServer gives an ejected server one safe request with time for another attempt, without probes.
+func (d *Door) trialServer(r *request) *server {
+	if d.set.MayProbe || d.set.Classes[r.class].Effect != Safe || len(r.attempts) > 0 || d.set.MaxAttempts < 2 ||
+		r.tau.Seconds() < trialRoom*d.base[r.class] {
+		return nil
+	}
+	for _, s := range d.ring {
+		if s.listed && s.ejected && !s.trying && d.now >= s.trialAt && !d.coldFull(s) {
+			return s
+		}
+	}
+	return nil
+}
+
+func (d *Door) probed(ev Probed) {
+	s := d.servers[ev.Backend]
+	if s == nil || !s.ejected {
+		return
+	}
+	d.nextTrial(s)
+	if ev.Status == OK {
+		d.restore(s, true)
+	}
+}
+
+// restore takes a server back. One that comes back from silence may have started anew: it counts as cold.
+func (d *Door) restore(s *server, fresh bool) {
+	fresh = fresh && d.now-s.heard > restartTime
+	s.ejected, s.trying, s.fails, s.lost, s.heard = false, false, 0, 0, d.now
+	d.act(Log{"used again: " + s.name})
+	if fresh {
+		s.cold, s.coldAt, s.slow, s.slots = true, d.now, 1, 1
+	}
+}
+
+// list takes news of the backends.
+func (d *Door) list(ev List) {
+	if ev.Scope == ListFailed {
+		if !d.listAsked {
+			d.listAsked = true
+			d.listWait = min(8*time.Second, max(500*time.Millisecond, 2*d.listWait))
+			d.act(SetTimer{d.now + d.listWait, 2})
+		}
+		return
+	}
+	d.listAt, d.listWait = d.now, 0
+	for _, b := range ev.Entries {
+		d.entry(b)
+	}
+	if ev.Scope != Delta {
+		d.retireMissing(ev.Entries)
+	}
+	d.prune()
+	for _, s := range d.ring {
+		d.fill(s)
+	}
+}
+
+// entry takes what the list says of one backend. One that was started lately is cold.
+func (d *Door) entry(b Backend) {
+	s := d.servers[b.Name]
+	if s == nil {
+		if b.State != InService {
+			return
+		}
+		s = &server{name: b.Name, started: -1, slots: max(slotsLeast, slotsStart/float64(d.set.Doors))}
+		d.servers[b.Name] = s
+		d.ring = append(d.ring, s)
+	}
+	if b.Started != s.started {
+		s.started, s.heard, s.slow = b.Started, d.now, 1
+		s.ejected, s.trying, s.fails, s.lost = false, false, 0, 0
+		if b.Started > 0 && d.now-b.Started < d.set.WarmWithin {
+			s.cold, s.coldAt, s.slots = true, b.Started, 1
+		}
+	}
+	s.zone, s.cell, s.weight = b.Zone, b.Cell, cmp.Or(max(0, b.Weight), 1)
+	s.listed = s.listed || b.State == InService
+	if b.State != InService {
+		d.retire(s)
+	}
+}
--- /dev/null
+++ b/door_test.go
@@ -0,0 +1,574 @@
+package snowhall
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// basic is a deployment with a hard plan, a soft one with a ceiling, and one without quota.
+func basic() Settings {
+	return Settings{
+		Doors: 2, Resolution: 2 * ms, MaxAttempts: 3, MayCancel: true, RetryAfter: true, MaxRetryAfter: time.Second,
+		AnswerSlack: 8 * ms, StopSendingWithin: 500 * ms, FallMultiple: 3, FallWindow: 2 * time.Second, ColdFrom: 0.25,
+		WarmWithin: 15 * time.Second, Counter: true, CounterTimeout: 50 * ms, MaxUnits: 4,
+		Classes: []Class{
+			{Worth: 1, Aim: 500 * ms, GiveUp: 2 * time.Second, Effect: Safe},
+			{Worth: 5, Aim: 600 * ms, GiveUp: 2 * time.Second, Effect: Keyed, Group: GroupCell, Window: time.Second},
+			{Worth: 5, Aim: 600 * ms, GiveUp: 2 * time.Second, Effect: Unsafe},
+		},
+		Plans: []Plan{
+			{Rate: 2, Burst: 8, Factor: 1, OverCost: 0.5},
+			{Rate: 10, Burst: 20, Factor: 1, OverWorth: 0.2, CeilingRate: 20, CeilingDepth: 40},
+			{Factor: 1},
+			{Rate: 100, Burst: 100, AtOnce: 4, Factor: 1, OverCost: 0.5},
+		},
+	}
+}
+
+func open(t testing.TB, set Settings, list ...Backend) *Door {
+	t.Helper()
+	d, err := New(set, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Step(0, []Event{List{Scope: Cached, Entries: list}})
+	return d
+}
+
+func backends(n int) (list []Backend) {
+	for i := range n {
+		list = append(list, Backend{Name: fmt.Sprint("b", i), Cell: i / 2, Weight: 1})
+	}
+	return list
+}
+
+// only picks the actions of one kind.
+func only[A Action](acts []Action) (got []A) {
+	for _, a := range acts {
+		if a, ok := a.(A); ok {
+			got = append(got, a)
+		}
+	}
+	return got
+}
+
+func ask(id uint64, class, plan int) Request {
+	return Request{ID: id, Class: class, Plan: plan, Customer: "c", Left: 2 * time.Second, Units: 1}
+}
+
+func served(s Send, n int, took time.Duration) Outcome {
+	return Outcome{ID: s.ID, Attempt: n, Backend: s.Backend, Status: OK, Latency: took, Closed: true}
+}
+
+func TestNonsenseSettings(t *testing.T) {
+	for name, spoil := range map[string]func(*Settings){
+		"doors": func(s *Settings) { s.Doors = 0 }, "classes": func(s *Settings) { s.Classes = nil },
+		"plans": func(s *Settings) { s.Plans = nil }, "attempts": func(s *Settings) { s.MaxAttempts = 0 },
+		"rate": func(s *Settings) { s.Plans[0].Rate = -1 }, "aim": func(s *Settings) { s.Classes[0].Aim = -1 },
+		"window": func(s *Settings) { s.FallWindow = -1 },
+	} {
+		set := basic()
+		if spoil(&set); true {
+			if _, err := New(set, 1); err == nil {
+				t.Errorf("%s: no error", name)
+			}
+		}
+	}
+}
+
+func TestNewCustomerSpendsBurstOverDoors(t *testing.T) {
+	set := basic()
+	set.Counter = false
+	d := open(t, set, backends(8)...)
+	sent, refused := 0, 0
+	for i := range 8 {
+		acts := d.Step(ms, []Event{ask(uint64(i), 0, 0)})
+		sent += len(only[Send](acts))
+		refused += len(only[Refuse](acts))
+	}
+	if sent != 4 || refused != 4 {
+		t.Errorf("sent %d, refused %d of 8; want 4 and 4", sent, refused)
+	}
+}
+
+// drain spends a customer's fallback share and returns the counter call that the next request waits for.
+func drain(t *testing.T, d *Door, now time.Duration) Count {
+	t.Helper()
+	for i := range 20 {
+		if c := only[Count](d.Step(now, []Event{ask(uint64(100+i), 0, 0)})); len(c) == 1 {
+			return c[0]
+		}
+	}
+	t.Fatal("no lease was asked for")
+	return Count{}
+}
+
+func TestLeasePromotes(t *testing.T) {
+	d := open(t, basic(), backends(8)...)
+	c := drain(t, d, ms)
+	d.Step(2*ms, []Event{ask(1, 0, 0), ask(2, 0, 0), ask(3, 0, 0), ask(4, 0, 0), ask(5, 0, 0)})
+	acts := d.Step(4*ms, []Event{Counted{c.Name, OK, c.Amount}})
+	if len(only[Send](acts)) == 0 {
+		t.Errorf("a grant sent nothing on: %v", acts)
+	}
+}
+
+func TestFullStoreRefusesHardPlan(t *testing.T) {
+	d := open(t, basic(), backends(8)...)
+	c := drain(t, d, ms)
+	d.Step(2*ms, []Event{ask(1, 0, 0), ask(2, 0, 0), ask(3, 0, 0), ask(4, 0, 0), ask(5, 0, 0)})
+	acts := d.Step(4*ms, []Event{Counted{c.Name, OK, c.Amount + 30}})
+	if len(only[Refuse](acts)) == 0 || len(only[Send](acts)) != 0 {
+		t.Errorf("a spent store let requests in: %v", acts)
+	}
+}
+
+func TestSilentCounter(t *testing.T) {
+	d := open(t, basic(), backends(8)...)
+	now, c := ms, drain(t, d, ms)
+	for i := range 12 {
+		now += 60 * ms
+		acts := d.Step(now, []Event{Counted{c.Name, Timeout, 0}, ask(uint64(10+i), 0, 0)})
+		if got := only[Count](acts); len(got) == 1 {
+			c = got[0]
+		}
+	}
+	now += 3 * time.Second
+	acts := d.Step(now, []Event{ask(20, 0, 0)})
+	if len(only[Send](acts)) != 1 {
+		t.Errorf("the fallback share did not fill while the counter was silent: %v", acts)
+	}
+}
+
+func TestEmptiedCounter(t *testing.T) {
+	for others, granted := range map[float64]bool{0: true, 30: false} {
+		emptied(t, others, granted)
+	}
+}
+
+// emptied lets the counter lose its numbers, after which the other doors add some units.
+func emptied(t *testing.T, others float64, granted bool) {
+	t.Helper()
+	d := open(t, basic(), backends(8)...)
+	c := drain(t, d, ms)
+	for _, back := range only[Count](d.Step(3*ms, []Event{Counted{c.Name, OK, 30}})) {
+		d.Step(5*ms, []Event{Counted{back.Name, OK, 30 + back.Amount}}) // what the store did not hold
+	}
+	now := 9 * time.Second
+	var again []Count
+	for i := range 6 {
+		again = append(again, only[Count](d.Step(now, []Event{ask(uint64(50+i), 0, 0)}))...)
+	}
+	if len(again) == 0 {
+		t.Fatal("no call after the store has filled again")
+	}
+	acts := d.Step(now+2*ms, []Event{Counted{again[0].Name, OK, again[0].Amount + others}})
+	if granted != (len(only[Send](acts)) > 0) {
+		t.Errorf("others added %v to an emptied counter: %v", others, acts)
+	}
+}
+
+func TestSoftPlanDropsToTheLowestLevel(t *testing.T) {
+	set := basic()
+	set.Counter = false
+	set.Plans[1].CeilingRate = 0
+	d := open(t, set, backends(20)...)
+	var evs []Event
+	for i := range 15 {
+		evs = append(evs, ask(uint64(i), 0, 1))
+	}
+	acts := d.Step(ms, evs)
+	if len(only[Refuse](acts)) != 0 {
+		t.Errorf("a soft plan was refused beyond its quota: %v", acts)
+	}
+}
+
+func TestStaleIsRefused(t *testing.T) {
+	d := open(t, basic(), backends(1)...)
+	sends := only[Send](d.Step(ms, []Event{ask(1, 0, 0), ask(2, 0, 0), ask(3, 0, 0), ask(4, 1, 0)}))
+	if len(sends) != 2 {
+		t.Fatalf("%d of 4 sent to one backend at once", len(sends))
+	}
+	acts := d.Step(480*ms, []Event{served(sends[0], 0, 479*ms), served(sends[1], 0, 479*ms)})
+	if n := len(only[Refuse](acts)); n != 2 || len(only[Send](acts)) != 0 {
+		t.Errorf("stale requests: %v, want two refusals", acts)
+	}
+}
+
+func TestHighWorthGoesFirstUnderBacklog(t *testing.T) {
+	set := basic()
+	set.Plans[0].Burst = 20
+	d := open(t, set, backends(1)...)
+	first := only[Send](d.Step(ms, []Event{ask(1, 0, 0), ask(2, 0, 0), ask(3, 0, 0), ask(4, 0, 0)}))
+	d.Step(2*ms, []Event{ask(5, 1, 0)})
+	next := only[Send](d.Step(151*ms, []Event{served(first[0], 0, 150*ms), served(first[1], 0, 150*ms)}))
+	if len(next) == 0 || next[0].ID != 5 {
+		t.Errorf("after %v went %v, want the request with the most worth", first, next)
+	}
+}
+
+func TestDrain(t *testing.T) {
+	d := open(t, basic(), backends(2)...)
+	d.Step(ms, []Event{List{Scope: Delta, Entries: []Backend{{Name: "b0", State: Terminating}}}})
+	for i := range 20 {
+		for _, s := range only[Send](d.Step(time.Duration(i+2)*ms, []Event{ask(uint64(i), 0, 2)})) {
+			if s.Backend == "b0" {
+				t.Fatal("sent to a draining backend")
+			}
+		}
+	}
+}
+
+func TestQueueMovesOnFromAGoneBackend(t *testing.T) { // a panic of the first version
+	d := open(t, basic(), backends(3)...)
+	var evs []Event
+	for i := range 30 {
+		evs = append(evs, ask(uint64(i), i%2, 2))
+	}
+	d.Step(ms, evs)
+	acts := d.Step(2*ms, []Event{List{Scope: Whole, Entries: backends(2)}})
+	acts = append(acts, d.Step(3*ms, []Event{List{Scope: Whole}})...)
+	for _, s := range only[Send](acts) {
+		if s.Backend == "b2" {
+			t.Error("sent to a gone backend")
+		}
+	}
+}
+
+func TestNoEffectTwice(t *testing.T) {
+	for class, st := range map[int]Status{1: Failed, 2: Reset} {
+		d := open(t, basic(), backends(4)...)
+		s := only[Send](d.Step(ms, []Event{ask(1, class, 2)}))[0]
+		acts := d.Step(20*ms, []Event{Outcome{ID: 1, Backend: s.Backend, Status: st, Latency: 19 * ms}})
+		again, failed := only[Send](acts), only[Fail](acts)
+		if class == 2 && (len(again) != 0 || len(failed) != 1) {
+			t.Errorf("an unsafe request that may have run: %v", acts)
+		}
+		cell := map[string]int{"b0": 0, "b1": 0, "b2": 1, "b3": 1}
+		if class == 1 && (len(again) != 1 || cell[again[0].Backend] != cell[s.Backend]) {
+			t.Errorf("a keyed request left its cell: %v after %v", acts, s)
+		}
+	}
+}
+
+func TestColdBackendGetsLess(t *testing.T) {
+	list := backends(4)
+	list[0].Started = 99 * time.Second
+	d, _ := New(basic(), 7)
+	d.Step(100*time.Second, []Event{List{Scope: Cached, Entries: list}})
+	got, now := map[string]int{}, 100*time.Second
+	for i := range 150 {
+		now += 10 * ms
+		for _, s := range only[Send](d.Step(now, []Event{ask(uint64(i), 0, 2)})) {
+			got[s.Backend]++
+			now += ms
+			d.Step(now, []Event{served(s, 0, ms)})
+		}
+	}
+	if got["b0"]*2 > got["b1"] {
+		t.Errorf("cold backend got %d, a warm one %d", got["b0"], got["b1"])
+	}
+}
+
+func TestCeilingShareOfAFreshDoor(t *testing.T) {
+	set := basic()
+	set.Counter = false
+	d := open(t, set, backends(40)...)
+	sent := 0
+	for i := range 1000 {
+		now := time.Duration(i+1) * ms
+		for _, s := range only[Send](d.Step(now, []Event{ask(uint64(i), 0, 1)})) {
+			sent++
+			d.Step(now, []Event{served(s, 0, 0)})
+		}
+	}
+	if sent > 10 {
+		t.Errorf("%d units in the first second of a fresh door; its share of the ceiling is 10", sent)
+	}
+}
+
+func TestAtOnceShare(t *testing.T) {
+	d := open(t, basic(), backends(10)...)
+	var evs []Event
+	for i := range 10 {
+		evs = append(evs, ask(uint64(i), 0, 3))
+	}
+	if n := len(only[Send](d.Step(ms, evs))); n != 2 {
+		t.Errorf("%d attempts out for a cap of 4 over 2 doors", n)
+	}
+}
+
+func TestAtOnceFollowsTheOtherDoors(t *testing.T) {
+	set := basic()
+	for others, want := range map[float64]int{0: 3, 200: 2} {
+		d := open(t, set, backends(10)...)
+		for _, s := range only[Send](d.Step(ms, []Event{ask(1, 0, 3)})) {
+			d.Step(51*ms, []Event{served(s, 0, 50*ms)})
+		}
+		c := d.customers["c"]
+		c.known, c.others, c.tokens, c.grantAt = true, others, 20, ms
+		var evs []Event
+		for i := range 10 {
+			evs = append(evs, ask(uint64(100+i), 0, 3))
+		}
+		if n := len(only[Send](d.Step(52*ms, evs))); n != want {
+			t.Errorf("others add %v a second: %d attempts out, want %d", others, n, want)
+		}
+	}
+}
+
+func TestSilentBackendIsLeft(t *testing.T) {
+	d := open(t, basic(), backends(4)...)
+	now, id := ms, uint64(0)
+	var open, lost []Send
+	var openAt, lostAt []time.Duration
+	late, left := 0, false
+	for range 400 {
+		now += 5 * ms
+		id++
+		evs := []Event{ask(id, 0, 2), Timer{0}}
+		for len(open) > 0 && now >= openAt[0]+40*ms {
+			evs = append(evs, served(open[0], 0, 40*ms))
+			open, openAt = open[1:], openAt[1:]
+		}
+		for len(lost) > 0 && now >= lostAt[0]+lost[0].Timeout {
+			evs = append(evs, Outcome{ID: lost[0].ID, Backend: "b0", Status: Timeout, Latency: lost[0].Timeout})
+			lost, lostAt = lost[1:], lostAt[1:]
+		}
+		acts := d.Step(now, evs)
+		for _, l := range only[Log](acts) {
+			left = left || l.Text == "no longer used: b0"
+		}
+		for _, s := range only[Send](acts) {
+			if s.Backend != "b0" {
+				open, openAt = append(open, s), append(openAt, now)
+			} else {
+				lost, lostAt = append(lost, s), append(lostAt, now)
+				if left {
+					late++
+				}
+			}
+		}
+	}
+	if !left || late > 2 {
+		t.Errorf("left: %v; %d requests sent to a silent backend after that, want the trials only", left, late)
+	}
+}
+
+func TestOddEvents(t *testing.T) {
+	d := open(t, basic())
+	if acts := d.Step(ms, []Event{ask(1, 0, 2), Outcome{ID: 9}, Outcome{ID: 1, Attempt: 3}, Gone{77}, Timer{55}, Timer{2},
+		Counted{Name: 5}, FirstByte{ID: 4}, Probed{Backend: "x"}, Message{}, List{Scope: ListFailed}}); len(only[Send](acts)) != 0 {
+		t.Errorf("sent without a backend: %v", acts)
+	}
+	if acts := d.Step(500*ms, []Event{Timer{1<<1 | 1}}); len(only[Refuse](acts)) != 1 {
+		t.Errorf("no final answer without a backend: %v", acts)
+	}
+	if acts := d.Step(501*ms, []Event{Timer{1<<1 | 1}, Gone{1}}); len(acts) != 0 {
+		t.Errorf("a second answer: %v", acts)
+	}
+	short := ask(2, 0, 2)
+	short.Left = 0
+	if acts := d.Step(502*ms, []Event{short, Request{ID: 3, Class: 99}}); len(only[Refuse](acts)) != 2 {
+		t.Errorf("no time left, unknown class: %v", acts)
+	}
+}
+
+func TestStateIsForgotten(t *testing.T) {
+	set := basic()
+	d := open(t, set, backends(4)...)
+	for i := range 500 {
+		r := ask(uint64(i), 0, 0)
+		r.Customer = fmt.Sprint("once", i)
+		for _, s := range only[Send](d.Step(ms, []Event{r})) {
+			d.Step(ms, []Event{served(s, 0, 0)})
+		}
+		d.Step(ms, []Event{Gone{r.ID}})
+	}
+	for i := range 200 {
+		d.Step(70*time.Second+time.Duration(i)*ms, []Event{Timer{0}})
+	}
+	if len(d.reqs) != 0 || len(d.customers) != 0 || len(d.order) != 0 {
+		t.Errorf("left: %d requests, %d customers", len(d.reqs), len(d.customers))
+	}
+}
+
+func TestModuleLimits(t *testing.T) {
+	text, err := os.ReadFile("door.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for _, l := range bytes.Split(text, []byte("\n")) {
+		if len(bytes.TrimSpace(l)) > 0 {
+			lines++
+		}
+		if n := len([]rune(string(l))); n > 110 {
+			t.Errorf("%d characters: %s", n, l)
+		}
+	}
+	if lines > 850 {
+		t.Errorf("door.go has %d lines that are not blank", lines)
+	}
+}
+
+// ordeal plays a random but legal order of events and checks what must hold after any of them.
+func ordeal(t testing.TB, seed uint64) (all []Action) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	set := basic()
+	list := backends(5)
+	d := open(t, set, list...)
+	type sent struct {
+		Send
+		no int
+		at time.Duration
+	}
+	var outs []sent
+	var counts []Count
+	var timers []SetTimer
+	due, class := map[uint64]time.Duration{}, map[uint64]int{}
+	tries, ran, dead, total := map[uint64]int{}, map[uint64]string{}, map[string]bool{}, map[uint64]float64{}
+	live := map[uint64]int{}
+	now, id := time.Duration(0), uint64(0)
+	for step := range 600 {
+		now += time.Duration(rng.IntN(12)) * ms
+		var evs []Event
+		for range rng.IntN(4) {
+			if step > 400 {
+				break
+			}
+			id++
+			r := Request{ID: id, Class: rng.IntN(3), Plan: rng.IntN(4), Customer: fmt.Sprint("c", rng.IntN(6)),
+				Left: time.Duration(rng.IntN(2000)) * ms, Units: 1 + float64(rng.IntN(3)), Doors: rng.IntN(3)}
+			due[id], class[id] = now+r.Left, r.Class
+			evs = append(evs, r)
+		}
+		for i := 0; i < len(outs); i++ {
+			if rng.IntN(8) != 0 {
+				continue
+			}
+			o := outs[i]
+			outs = append(outs[:i], outs[i+1:]...)
+			st := Status(rng.IntN(8))
+			if rng.IntN(2) == 0 {
+				st = OK
+			}
+			live[o.ID]--
+			_, owed := due[o.ID]
+			if st == OK {
+				delete(due, o.ID)
+			} else if st != Full && st != ConnectFailed && st != Moot {
+				ran[o.ID] = o.Backend
+			}
+			evs = append(evs, Outcome{ID: o.ID, Attempt: o.no, Backend: o.Backend, Status: st, Latency: now - o.at,
+				Closed: st == OK || !owed})
+		}
+		for len(counts) > 0 && rng.IntN(2) == 0 {
+			c := counts[0]
+			counts = counts[1:]
+			st := []Status{OK, OK, OK, Timeout, Full}[rng.IntN(5)]
+			if st != Full {
+				total[c.Name] += c.Amount
+			}
+			if rng.IntN(50) == 0 {
+				total[c.Name] = 0
+			}
+			evs = append(evs, Counted{c.Name, st, total[c.Name]})
+		}
+		if rng.IntN(40) == 0 {
+			i := rng.IntN(len(list))
+			b := list[i]
+			b.State = State(rng.IntN(3))
+			b.Started = now * time.Duration(rng.IntN(2))
+			dead[b.Name] = b.State != InService
+			evs = append([]Event{List{Scope: Delta, Entries: []Backend{b}}}, evs...)
+		}
+		keep := timers[:0]
+		for _, x := range timers {
+			if x.At <= now {
+				evs = append(evs, Timer{x.Cookie})
+			} else {
+				keep = append(keep, x)
+			}
+		}
+		timers = keep
+		acts := append([]Action(nil), d.Step(now, evs)...)
+		all = append(all, acts...)
+		for _, a := range acts {
+			switch a := a.(type) {
+			case Send:
+				if _, ok := due[a.ID]; !ok {
+					t.Fatalf("seed %d: sent after the end: %v", seed, a)
+				}
+				if dead[a.Backend] {
+					t.Fatalf("seed %d: sent to a backend that is draining: %v", seed, a)
+				}
+				if b, may := ran[a.ID]; may && (class[a.ID] == 2 || class[a.ID] == 1 && cellOf(list, b) != cellOf(list, a.Backend)) {
+					t.Fatalf("seed %d: an effect twice: %v", seed, a)
+				}
+				if live[a.ID]++; live[a.ID] > 1 || tries[a.ID] >= set.MaxAttempts {
+					t.Fatalf("seed %d: too many attempts: %v", seed, a)
+				}
+				outs = append(outs, sent{a, tries[a.ID], now})
+				tries[a.ID]++
+			case Refuse:
+				if _, ok := due[a.ID]; !ok {
+					t.Fatalf("seed %d: refused after the end: %v", seed, a)
+				}
+				if _, may := ran[a.ID]; (may || live[a.ID] > 0) && class[a.ID] != 0 {
+					t.Fatalf("seed %d: refused what may have run: %v", seed, a)
+				}
+				delete(due, a.ID)
+			case Fail:
+				if _, ok := due[a.ID]; !ok {
+					t.Fatalf("seed %d: failed after the end: %v", seed, a)
+				}
+				delete(due, a.ID)
+			case Count:
+				counts = append(counts, a)
+			case SetTimer:
+				if a.At <= now {
+					a.At = now + ms
+				}
+				timers = append(timers, a)
+			}
+		}
+		for id, at := range due {
+			if now > at+20*ms {
+				t.Fatalf("seed %d: request %d is lost", seed, id)
+			}
+		}
+	}
+	return all
+}
+
+func cellOf(list []Backend, name string) int {
+	for _, b := range list {
+		if b.Name == name {
+			return b.Cell
+		}
+	}
+	return -1
+}
+
+func TestDeterminism(t *testing.T) {
+	for seed := range uint64(30) {
+		if !reflect.DeepEqual(ordeal(t, seed), ordeal(t, seed)) {
+			t.Errorf("seed %d: two runs differ", seed)
+		}
+	}
+}
+
+func FuzzOrdeal(f *testing.F) {
+	for seed := range uint64(100) {
+		f.Add(seed + 1000)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) { ordeal(t, seed) })
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,97 @@
+package wire
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"snowhall"
+)
+
+// pairs holds the path=value settings and the first error met in reading them.
+type pairs struct {
+	m   map[string]string
+	err error
+}
+
+func (p *pairs) float(k string) float64 {
+	s, ok := p.m[k]
+	if !ok || s == "-" {
+		return 0
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if (err != nil || v != v) && p.err == nil {
+		p.err = fmt.Errorf("setting %s: not a number", k)
+	}
+	return v
+}
+
+func (p *pairs) int(k string) int { return int(p.float(k)) }
+
+func (p *pairs) micros(k string) time.Duration {
+	return time.Duration(p.float(k) * float64(time.Microsecond))
+}
+
+func (p *pairs) bool(k string) bool { return p.m[k] == "true" || p.m[k] == "1" }
+
+// word looks a setting's word up in a table; an absent one gives the zero value.
+func word[T any](p *pairs, k string, table map[string]T) T {
+	s, given := p.m[k]
+	v, ok := table[s]
+	if given && !ok && p.err == nil {
+		p.err = fmt.Errorf("setting %s: unknown word", k)
+	}
+	return v
+}
+
+var effects = map[string]snowhall.Effect{"safe": snowhall.Safe, "keyed": snowhall.Keyed, "unsafe": snowhall.Unsafe}
+
+var groups = map[string]snowhall.Group{"all": snowhall.GroupAll, "zone": snowhall.GroupZone,
+	"cell": snowhall.GroupCell, "": snowhall.GroupAll, "none": snowhall.GroupAll, "-": snowhall.GroupAll}
+
+var discoveries = map[string]bool{"pushed": false, "on_request": true}
+
+// settings reads the path=value pairs of a PROVISION line. Unknown paths are passed over.
+func settings(parts []string) (snowhall.Settings, error) {
+	p := &pairs{m: make(map[string]string, len(parts))}
+	for _, s := range parts {
+		k, v, ok := strings.Cut(s, "=")
+		if !ok {
+			return snowhall.Settings{}, fmt.Errorf("setting %.40q is no pair", s)
+		}
+		p.m[k] = v
+	}
+	set := snowhall.Settings{
+		Doors: p.int("peers-total"), Rank: p.int("rank"), Zone: p.int("locality"),
+		Resolution: p.micros("resolution-us"), MaxAttempts: p.int("limits.max-attempts"),
+		SecondCopies: p.bool("limits.second-copies"), MayCancel: p.bool("limits.cancel"),
+		MayProbe: p.bool("limits.may-probe"), RetryAfter: p.bool("limits.retry-after"),
+		MaxRetryAfter: p.micros("limits.max-retry-after-us"), OnRequest: word(p, "discovery", discoveries),
+		AskEvery: p.micros("obligations.ask-every-us"), AnswerSlack: p.micros("obligations.answer-slack-us"),
+		StopSendingWithin: p.micros("obligations.stop-sending-within-us"),
+		FallMultiple:      p.float("obligations.fall-multiple"), FallWindow: p.micros("obligations.fall-us"),
+		ColdFrom: p.float("obligations.cold-from"), WarmWithin: p.micros("obligations.warm-within-us"),
+		Counter:        p.bool("specifics.shared-counter"),
+		CounterTimeout: p.micros("specifics.counter-timeout-us"),
+		MaxUnits:       p.float("specifics.max-units"), TruedUp: p.bool("specifics.trued-up"),
+	}
+	for i := range p.int("classes.count") {
+		k := fmt.Sprintf("classes.%d.", i)
+		set.Classes = append(set.Classes, snowhall.Class{
+			Worth: p.float(k + "worth"), LateWorth: p.float(k + "late-worth"), Aim: p.micros(k + "target-us"),
+			GiveUp: p.micros(k + "give-up-us"), Effect: word(p, k+"effect", effects),
+			Group: word(p, k+"group", groups), Window: p.micros(k + "window-us"), Stream: p.bool(k + "stream"),
+		})
+	}
+	for i := range p.int("tiers-of-service.count") {
+		k := fmt.Sprintf("tiers-of-service.%d.", i)
+		set.Plans = append(set.Plans, snowhall.Plan{
+			Rate: p.float(k + "units-per-s"), Burst: p.float(k + "most-at-once"), AtOnce: p.int(k + "at-once"),
+			Factor: p.float(k + "value-factor"), OverWorth: p.float(k + "extra-worth"),
+			OverCost: p.float(k + "over-cost"), CeilingRate: p.float(k + "never-over-rate"),
+			CeilingDepth: p.float(k + "cap-depth"),
+		})
+	}
+	return set, p.err
+}
--- /dev/null
+++ b/state.go
@@ -0,0 +1,425 @@
+package snowhall
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// What a door remembers, and how its queues are kept. Nothing here decides.
+
+type server struct {
+	name                string
+	zone, cell          int
+	weight, slots, slow float64
+	listed              bool // in service, by the list
+	started, coldAt     time.Duration
+	cold, ejected       bool
+	coldTurn            time.Duration // no send while cold before this, where the share is under one
+	restUntil           time.Duration
+	trialAt             time.Duration
+	trialPause          time.Duration
+	trying              bool
+	fails, lost         int           // broken connections in a row; time-outs since heard
+	heard               time.Duration // last sign of life, or the moment it got work after having none
+	outs                []*attempt
+	queue               [lowest + 1][]*entry
+	count               [lowest + 1]int
+	queued              int
+	recent              []time.Duration // sends of the last cold window
+}
+
+type entry struct{ r *request }
+
+type attempt struct {
+	r     *request
+	no    int
+	s     *server
+	at    time.Duration
+	trial bool
+	open  bool
+}
+
+type request struct {
+	id          uint64
+	class, plan int
+	c           *customer
+	units       float64
+	at, tau     time.Duration // arrival; useful time left then
+	level       int
+	paid, live  bool   // paid by tokens; counted in customer.live
+	ceilHeld    bool   // holds units of the ceiling's share while queued
+	spot        *entry // place in a queue of on
+	on          *server
+	attempts    []*attempt
+	out         int
+	ran, ended  bool
+	ranAt       time.Duration
+	ranOn       *server
+	stream      bool
+	retry       bool // the client's repeat
+	unsure      bool // on credit: neither paid by the lease nor looked up
+	asked       bool // has called the counter
+}
+
+type customer struct {
+	name             string
+	plan             int
+	doors            float64
+	demand           float64 // units a second here
+	demandAt, usedAt time.Duration
+	tokens           float64 // leased
+	spare            float64 // fallback share not yet spent
+	spareAt          time.Duration
+	owed             float64 // spent without a lease, to be added to the counter; below 0: to be given back
+	known, asking    bool
+	others           float64 // units a second that the other doors add
+	grantAt          time.Duration
+	store            float64 // what the customer's store holds, by the counter
+	storeAt          time.Duration
+	ceil             float64
+	ceilAt           time.Duration
+	ceilQueued       float64
+	live             int
+	waiting          []*request
+	listed           bool          // in Door.waiters
+	emptyUntil       time.Duration // the store was seen empty: not asked before then
+}
+
+// call is a counter call that is out; with no block it only puts the number right.
+type call struct {
+	c                   *customer
+	block, amount, owed float64 // units asked for; what is added in all; of it, owed from before
+	window              int64
+	at                  time.Duration
+}
+
+// Door decides for one front door.
+type Door struct {
+	set        Settings
+	floor      []float64 // latency of each class on an idle fleet
+	rng        *rand.Rand
+	now, begun time.Duration
+	lastAt     time.Duration   // the Step before
+	mostLeft   []time.Duration // by class, the most time that a client gave
+	running    bool
+	acts       []Action
+	servers    map[string]*server
+	ring       []*server
+	turn       int
+	queued     int // requests in all queues
+	reqs       map[uint64]*request
+	customers  map[string]*customer
+	order      []*customer
+	sweep      int
+	waiters    []*customer
+	stuck      []*request
+	asks       map[uint64][]*call // counter calls out, by name in their order
+	callShare  float64            // part of the requests without tokens that call the counter
+	fleet      float64            // the last answers of all servers, in their classes' means
+	fleetAt    time.Duration
+	counterAt  time.Duration
+	beatAt     time.Duration // last check of what no event tells
+	base       []float64     // mean latency of each class, seconds
+	answers    []int
+	topWorth   float64
+	rate       float64 // answers a second of a warm server
+	rateAt     time.Duration
+	listAt     time.Duration
+	listWait   time.Duration
+	listAsked  bool
+}
+
+// New makes a door that knows nothing yet. The seed is for its random numbers.
+func New(set Settings, seed uint64) (*Door, error) {
+	switch {
+	case set.Doors < 1:
+		return nil, errors.New("snowhall: Doors is under 1")
+	case len(set.Classes) == 0:
+		return nil, errors.New("snowhall: Classes is empty")
+	case len(set.Plans) == 0:
+		return nil, errors.New("snowhall: Plans is empty")
+	case set.MaxAttempts < 1:
+		return nil, errors.New("snowhall: MaxAttempts is under 1")
+	case set.Resolution < 0 || set.FallWindow < 0 || set.WarmWithin < 0 || set.AskEvery < 0:
+		return nil, errors.New("snowhall: Resolution, FallWindow, WarmWithin or AskEvery is negative")
+	case set.FallMultiple < 0 || set.ColdFrom < 0:
+		return nil, errors.New("snowhall: FallMultiple or ColdFrom is negative")
+	}
+	d := &Door{set: set, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[string]*server{},
+		reqs: map[uint64]*request{}, customers: map[string]*customer{}, asks: map[uint64][]*call{}}
+	for i, c := range set.Classes {
+		if c.Worth < 0 || c.Aim < 0 || c.GiveUp < 0 || c.Window < 0 {
+			return nil, fmt.Errorf("snowhall: Classes[%d] has a negative value", i)
+		}
+		for j, p := range set.Plans {
+			if p.Rate < 0 || p.Burst < 0 || p.AtOnce < 0 || p.CeilingRate < 0 || p.CeilingDepth < 0 {
+				return nil, fmt.Errorf("snowhall: Plans[%d] has a negative value", j)
+			}
+		}
+	}
+	d.floor = make([]float64, len(set.Classes))
+	d.mostLeft = make([]time.Duration, len(set.Classes))
+	d.base, d.answers = make([]float64, len(set.Classes)), make([]int, len(set.Classes))
+	return d, nil
+}
+
+func (d *Door) push(r *request, s *server) {
+	r.spot, r.on = &entry{r}, s
+	q := s.queue[r.level]
+	if len(r.attempts) > 0 { // a further attempt has waited already
+		q = append([]*entry{r.spot}, q...)
+	} else {
+		q = append(q, r.spot)
+	}
+	s.queue[r.level] = q
+	s.count[r.level]++
+	s.queued++
+	d.queued++
+}
+
+// unqueue takes a request out of its queue; the empty place is passed over later.
+func (d *Door) unqueue(r *request) {
+	if r.spot == nil {
+		return
+	}
+	r.spot.r = nil
+	r.on.count[r.level]--
+	r.on.queued--
+	d.queued--
+	r.spot, r.on = nil, nil
+}
+
+func (s *server) head(l int) *request {
+	q := s.queue[l]
+	for q[0].r == nil {
+		q = q[1:]
+	}
+	s.queue[l] = q
+	return q[0].r
+}
+
+// call adds an amount on the counter under the customer and the window.
+func (d *Door) call(c *customer, block, amount, owed float64) {
+	window := int64(d.now / windowLen)
+	name := counterName(c.name, window)
+	d.asks[name] = append(d.asks[name], &call{c, block, amount, owed, window, d.now})
+	d.act(Count{name, amount, keepFor})
+}
+
+// answered finds the call that an answer belongs to: those for one name come in the order of the calls.
+func (d *Door) answered(name uint64) *call {
+	all := d.asks[name]
+	if len(all) == 0 {
+		return nil
+	}
+	if d.asks[name] = all[1:]; len(all) == 1 {
+		delete(d.asks, name)
+	}
+	return all[0]
+}
+
+// counterName is the counter's name for a customer and a window, within 63 bits.
+func counterName(customer string, window int64) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s %d", customer, window)
+	return h.Sum64() >> 1
+}
+
+// Step takes what happened at time now, in order, and returns what to do, in order. The slice is the caller's
+// until the next Step.
+func (d *Door) Step(now time.Duration, events []Event) []Action {
+	d.acts = d.acts[:0]
+	d.lastAt, d.now = d.now, max(d.now, now)
+	if !d.running {
+		d.running, d.begun, d.rateAt, d.turn = true, d.now, d.now, d.rng.IntN(1<<16)
+		d.prime()
+	}
+	for _, ev := range events {
+		switch ev := ev.(type) {
+		case Request:
+			d.admit(ev)
+		case Outcome:
+			d.outcome(ev)
+		case Counted:
+			d.counted(ev)
+		case Timer:
+			d.timer(ev.Cookie)
+		case List:
+			d.list(ev)
+		case Probed:
+			d.probed(ev)
+		case Gone:
+			if r := d.reqs[ev.ID]; r != nil {
+				d.end(r)
+			}
+		case FirstByte:
+			if r := d.reqs[ev.ID]; r != nil {
+				r.stream = true
+			}
+		}
+	}
+	return d.acts
+}
+
+func (d *Door) act(a Action) { d.acts = append(d.acts, a) }
+
+func (d *Door) forget(r *request) {
+	if r.ended && r.out == 0 {
+		delete(d.reqs, r.id)
+	}
+}
+
+// release gives back what a request holds while it is queued.
+func (d *Door) release(r *request) {
+	if r.ceilHeld {
+		r.ceilHeld = false
+		r.c.ceilQueued -= r.units
+	}
+}
+
+// hold keeps units of the ceiling's share for a queued request; release gives them back.
+func (d *Door) hold(r *request) {
+	r.ceilHeld = true
+	r.c.ceilQueued += r.units
+}
+
+// moveQueue places anew what is queued at a server that is no longer usable. All is taken out first: placing
+// one request may release others.
+func (d *Door) moveQueue(s *server) {
+	var all []*request
+	for l := range s.queue {
+		for _, e := range s.queue[l] {
+			if e.r != nil {
+				all = append(all, e.r)
+			}
+		}
+	}
+	for _, r := range all {
+		d.unqueue(r)
+	}
+	for _, r := range all {
+		if !r.ended {
+			d.place(r)
+		}
+	}
+}
+
+func (d *Door) retire(s *server) {
+	if s.listed {
+		s.listed = false
+		d.moveQueue(s)
+	}
+}
+
+// retireMissing takes servers that a whole list leaves out as gone.
+func (d *Door) retireMissing(list []Backend) {
+	named := map[string]bool{}
+	for _, b := range list {
+		named[b.Name] = true
+	}
+	for _, s := range d.ring {
+		if !named[s.name] {
+			d.retire(s)
+		}
+	}
+}
+
+// prune forgets servers that are gone and owe no outcome.
+func (d *Door) prune() {
+	kept := d.ring[:0:0]
+	for _, s := range d.ring {
+		if s.listed || len(s.outs) > 0 {
+			kept = append(kept, s)
+		} else {
+			delete(d.servers, s.name)
+		}
+	}
+	d.ring = kept
+}
+
+func (d *Door) customer(ev Request) *customer {
+	c, p := d.customers[ev.Customer], &d.set.Plans[ev.Plan]
+	n := float64(cmp.Or(max(0, ev.Doors), d.set.Doors))
+	if c == nil {
+		c = &customer{name: ev.Customer, plan: ev.Plan, doors: n, spare: p.Burst / n, spareAt: d.now,
+			demandAt: d.now, ceilAt: d.begun, store: p.Burst, storeAt: d.now}
+		d.customers[c.name] = c
+		d.order = append(d.order, c)
+	}
+	c.plan, c.doors = ev.Plan, n
+	return c
+}
+
+// level is what the customer's store should hold now.
+func (d *Door) level(c *customer, p *Plan) float64 {
+	return min(p.Burst, c.store+p.Rate*(d.now-c.storeAt).Seconds())
+}
+
+// rateAdd keeps the mean rate of what a warm server carries: answers, as under overload more is sent.
+func (d *Door) rateAdd() {
+	n := 0.0
+	for _, s := range d.ring {
+		if s.usable() && !s.cold {
+			n++
+		}
+	}
+	gap := (d.now - d.rateAt).Seconds() / rateOver
+	d.rate = d.rate*math.Exp(-gap) + 1/(rateOver*max(1, n))
+	d.rateAt = d.now
+}
+
+// refill is the time until the customer's store should hold the units.
+func (d *Door) refill(c *customer, p *Plan, units float64) time.Duration {
+	return time.Duration(max(0.01, (units-d.level(c, p))/max(p.Rate, 0.1)) * float64(time.Second))
+}
+
+// usable says whether new work may go to a server on the ordinary path.
+func (s *server) usable() bool { return s.listed && !s.ejected }
+
+// timer takes the request's own timer, the tick and the list's.
+func (d *Door) timer(cookie uint64) {
+	if cookie == 0 {
+		d.beat()
+	} else if cookie == 2 {
+		d.listAsked = false
+		d.act(Watch{})
+	} else if r := d.reqs[cookie>>1]; r != nil && !r.stream {
+		d.refuse(r, 0)
+	}
+}
+
+// warmth is the share of its capacity that a server has at least.
+func (d *Door) warmth(s *server) float64 {
+	age := float64(d.now - s.coldAt)
+	if !s.cold || age >= float64(d.set.WarmWithin) {
+		s.cold, s.recent, s.coldTurn = false, nil, 0
+		return 1
+	}
+	return d.set.ColdFrom + (1-d.set.ColdFrom)*max(0, age)/float64(d.set.WarmWithin)
+}
+
+// forgetCustomers looks at a few customers and forgets those that are idle.
+func (d *Door) forgetCustomers() {
+	for i := 0; i < 8 && len(d.order) > 0; i++ {
+		d.sweep = (d.sweep + 1) % len(d.order)
+		if c := d.order[d.sweep]; d.now-c.usedAt > forgetAfter && !c.asking && c.live == 0 {
+			delete(d.customers, c.name)
+			d.order[d.sweep] = d.order[len(d.order)-1]
+			d.order = d.order[:len(d.order)-1]
+		}
+	}
+}
+
+// verdict says how a request stands with its quota.
+type verdict int
+
+const (
+	paid verdict = iota
+	wait
+	beyond
+)
