Add the real front door round the module

RESP is redcon's; a check of lengths goes before it, as redcon's reader takes any length the other side names and can't tell an incomplete message from one that never ends. internal/wire gains the exported mapping of the settings, so that the nested JSON of NODE_CONFIG needs no second table of names.

--- /dev/null
+++ b/internal/front/config.go
@@ -0,0 +1,118 @@
+package front
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+
+	"snowhall"
+	"snowhall/internal/wire"
+)
+
+// Config is what a front door is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string
+	Counter   string // empty where there is none
+	Seed      uint64
+	MemoryMB  int
+	Sockets   int
+	Settings  snowhall.Settings
+	Transport wire.Transport
+	Known     Members // the list of backends as last had, maybe old
+}
+
+// ReadConfig reads the JSON form of a Config.
+func ReadConfig(r io.Reader) (*Config, error) {
+	var raw struct {
+		Name, Listen, Discovery, Counter, Seed string
+		Limits                                 struct {
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int
+		}
+		Known    Members
+		Settings map[string]any
+	}
+	dec := json.NewDecoder(r)
+	dec.UseNumber()
+	if err := dec.Decode(&raw); err != nil {
+		return nil, fmt.Errorf("not the expected JSON: %w", err)
+	}
+	c := &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Counter: raw.Counter,
+		MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets, Known: raw.Known}
+	var err error
+	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	flat := map[string]string{}
+	flatten(flat, "", raw.Settings)
+	if c.Settings, err = wire.Settings(flat); err != nil {
+		return nil, err
+	}
+	if c.Transport, err = wire.ReadTransport(flat); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Check says what a front door could not run with. It stands apart from ReadConfig because the environment may
+// name addresses too.
+func (c *Config) Check() error {
+	for _, a := range []struct{ what, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery},
+		{"counter", c.Counter}} {
+		if a.addr == "" && a.what == "counter" && !c.Settings.Counter {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return fmt.Errorf("%s: %w", a.what, err)
+		}
+	}
+	if c.Transport.DialTimeout <= 0 {
+		return errors.New("settings: limits.dial-timeout-us is not above 0")
+	}
+	return nil
+}
+
+// flatten turns nested settings into the paths of the simulator's wire: objects and lists of objects by dots,
+// a list of objects also with its length under .count, a list of plain values joined with commas.
+func flatten(out map[string]string, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, e := range v {
+			flatten(out, strings.TrimPrefix(path+"."+k, "."), e)
+		}
+	case []any:
+		var plain []string
+		objects := 0
+		for _, e := range v {
+			if _, ok := e.(map[string]any); ok {
+				flatten(out, fmt.Sprintf("%s.%d", path, objects), e)
+				objects++
+			} else {
+				plain = append(plain, plainText(e))
+			}
+		}
+		if objects > 0 {
+			out[path+".count"] = strconv.Itoa(objects)
+		} else {
+			out[path] = strings.Join(plain, ",")
+		}
+	default:
+		out[path] = plainText(v)
+	}
+}
+
+func plainText(v any) string {
+	if v == nil {
+		return "-"
+	}
+	var b bytes.Buffer
+	fmt.Fprint(&b, v)
+	return b.String()
+}
--- /dev/null
+++ b/internal/front/counter.go
@@ -0,0 +1,249 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"math"
+	"net"
+	"strconv"
+	"time"
+
+	"snowhall"
+)
+
+const (
+	counterConns   = 4               // a name always goes by the same one: answers for a name come in order
+	counterIdle    = 3 * time.Second // the counter closes an idle connection after 10 s or less
+	counterSilence = 2 * time.Second // a connection that owes answers for so long is given up
+	counterOwed    = 1024            // calls of one connection whose answers are still to come
+	counterLine    = 256             // bytes of an answer
+)
+
+// counter calls the quota counter. The calls of one name go by one connection, one behind another.
+type counter struct {
+	f     *Front
+	lines [counterConns]*line
+}
+
+// line is a place for a connection to the counter, and the calls that go by it. The loop owns it.
+type line struct {
+	f     *Front
+	nc    net.Conn // nil: none yet
+	dials bool
+	epoch int     // of the connection: what an older one still reports is passed over
+	calls []*call // in the order of their answers, those given up on too
+	wire  chan []byte
+	used  time.Duration // when a call or an answer last went by
+	owed  time.Duration // since when an answer is owed
+}
+
+// call is one add whose answer is still to come.
+type call struct {
+	name    uint64
+	text    []byte
+	written bool // it may have reached the counter
+	ended   bool
+	timeout *timer
+}
+
+func newCounter(f *Front) *counter {
+	c := &counter{f: f}
+	for i := range c.lines {
+		c.lines[i] = &line{f: f}
+	}
+	return c
+}
+
+// add makes a call.
+func (c *counter) add(a snowhall.Count) {
+	l := c.lines[a.Name%counterConns]
+	k := &call{name: a.Name}
+	if !c.f.cfg.Settings.Counter || len(l.calls) >= counterOwed {
+		l.end(k, snowhall.ConnectFailed, 0)
+		return
+	}
+	k.text = fmt.Appendf(nil, "add %d %s %d\r\n", a.Name, strconv.FormatFloat(a.Amount, 'f', -1, 64),
+		max(1, a.Keep.Milliseconds()))
+	now := c.f.now()
+	if len(l.calls) == 0 {
+		l.owed = now
+	}
+	l.calls = append(l.calls, k)
+	l.used = now
+	k.timeout = c.f.timers.add(now+c.f.cfg.Settings.CounterTimeout, func() { l.giveUp(k) })
+	l.flush()
+}
+
+// giveUp ends a call with no answer. One that has not been written is taken out, as it must not be written
+// any more; for the others the place among the answers is kept.
+func (l *line) giveUp(k *call) {
+	if k.written {
+		l.end(k, snowhall.Timeout, 0)
+		return
+	}
+	for i, o := range l.calls {
+		if o == k {
+			l.calls = append(l.calls[:i], l.calls[i+1:]...)
+			break
+		}
+	}
+	l.end(k, snowhall.ConnectFailed, 0)
+}
+
+// end gives the one answer to a call.
+func (l *line) end(k *call, status snowhall.Status, total float64) {
+	if k.ended {
+		return
+	}
+	k.ended = true
+	l.f.timers.stop(k.timeout)
+	l.f.tell(snowhall.Counted{Name: k.name, Status: status, Total: total})
+}
+
+// flush writes the calls that are not written yet, or dials first.
+func (l *line) flush() {
+	if l.nc == nil {
+		if !l.dials {
+			l.dials = true
+			go l.dial()
+		}
+		return
+	}
+	var b []byte
+	for _, k := range l.calls {
+		if !k.written {
+			b = append(b, k.text...)
+			k.written = true
+		}
+	}
+	if len(b) == 0 {
+		return
+	}
+	select {
+	case l.wire <- b:
+	default: // the counter takes nothing any more
+		l.broke(l.epoch)
+	}
+}
+
+// dial connects. It gives up when the calls that wait for it have.
+func (l *line) dial() {
+	nc, err := net.DialTimeout("tcp", l.f.cfg.Counter, l.f.cfg.Transport.DialTimeout)
+	l.f.post(func() {
+		l.dials = false
+		if err != nil {
+			l.broke(l.epoch)
+			return
+		}
+		l.epoch++
+		l.nc, l.wire = nc, make(chan []byte, 64)
+		go l.write(nc, l.wire, l.epoch)
+		go l.read(nc, l.epoch)
+		l.flush()
+	})
+}
+
+// write writes calls until the channel is closed.
+func (l *line) write(nc net.Conn, wire <-chan []byte, epoch int) {
+	for b := range wire {
+		nc.SetWriteDeadline(time.Now().Add(counterSilence))
+		if _, err := nc.Write(b); err != nil {
+			l.f.post(func() { l.broke(epoch) })
+			return
+		}
+	}
+}
+
+// read reads answers until the connection ends or one makes no sense.
+func (l *line) read(nc net.Conn, epoch int) {
+	in := bufio.NewReaderSize(nc, counterLine)
+	for {
+		text, err := in.ReadSlice('\n')
+		if err == nil {
+			var status snowhall.Status
+			var total float64
+			if status, total, err = readCount(text); err == nil {
+				l.f.post(func() { l.answered(epoch, status, total) })
+			}
+		}
+		if err != nil {
+			l.f.post(func() { l.broke(epoch) })
+			return
+		}
+	}
+}
+
+// readCount reads one answer.
+func readCount(text []byte) (snowhall.Status, float64, error) {
+	text = bytes.TrimRight(text, "\r\n")
+	if v, ok := bytes.CutPrefix(text, []byte("ok ")); ok {
+		total, err := strconv.ParseFloat(string(v), 64)
+		if err != nil || math.IsNaN(total) || math.IsInf(total, 0) {
+			return 0, 0, fmt.Errorf("counter: total %.40q", v)
+		}
+		return snowhall.OK, total, nil
+	}
+	switch string(text) {
+	case "busy", "error":
+		return snowhall.Full, 0, nil
+	}
+	return 0, 0, fmt.Errorf("counter: answer %.40q", text)
+}
+
+// answered takes the answer to the call that is first in line.
+func (l *line) answered(epoch int, status snowhall.Status, total float64) {
+	if epoch != l.epoch || l.nc == nil {
+		return
+	}
+	if len(l.calls) == 0 || !l.calls[0].written { // an answer to nothing
+		l.broke(epoch)
+		return
+	}
+	k := l.calls[0]
+	l.calls[0] = nil
+	l.calls = l.calls[1:]
+	l.used = l.f.now()
+	l.owed = l.used
+	l.end(k, status, total)
+}
+
+// broke ends a connection, or the try to get one, and what waits for it.
+func (l *line) broke(epoch int) {
+	if epoch != l.epoch {
+		return
+	}
+	l.close()
+	calls := l.calls
+	l.calls = nil
+	for _, k := range calls {
+		if k.written {
+			l.end(k, snowhall.Timeout, 0)
+		} else {
+			l.end(k, snowhall.ConnectFailed, 0)
+		}
+	}
+}
+
+func (l *line) close() {
+	l.epoch++
+	if l.nc != nil {
+		l.nc.Close()
+		close(l.wire)
+		l.nc, l.wire = nil, nil
+	}
+}
+
+// sweep closes connections that are idle, before the counter does, and those that have fallen silent.
+func (c *counter) sweep() {
+	now := c.f.now()
+	for _, l := range c.lines {
+		switch {
+		case l.nc == nil:
+		case len(l.calls) == 0 && now-l.used >= counterIdle:
+			l.close()
+		case len(l.calls) > 0 && l.calls[0].written && now-l.owed >= counterSilence:
+			l.broke(l.epoch)
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/discovery.go
@@ -0,0 +1,182 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"snowhall"
+)
+
+const (
+	watchSilence = 5 * time.Second // a watch gives a sign every 2 s; one silent for so long is dead
+	rewatchFirst = 100 * time.Millisecond
+	rewatchMost  = time.Second
+	mostList     = 1 << 20 // bytes of a list
+)
+
+// Members is a list of backends, or changes of it, in discovery's form.
+type Members struct {
+	Index     int64
+	Snapshot  bool
+	Endpoints []Endpoint
+}
+
+// Endpoint is one backend in discovery's form.
+type Endpoint struct {
+	Name    string
+	Address string
+	Zone    string
+	Type    string
+	Group   int
+	Status  string
+	Weight  float64
+	SinceMS int64 `json:"since_ms"`
+}
+
+var statuses = map[string]snowhall.State{"SERVING": snowhall.InService, "DRAINING": snowhall.Terminating,
+	"DELETED": snowhall.Terminated}
+
+// discovery follows the list of backends.
+type discovery struct {
+	f    *Front
+	http *http.Client
+	url  string
+}
+
+func newDiscovery(f *Front) *discovery {
+	t := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+		ResponseHeaderTimeout: watchSilence, MaxConnsPerHost: 4}
+	return &discovery{f: f, http: &http.Client{Transport: t}, url: "http://" + f.cfg.Discovery + "/catalog/members"}
+}
+
+// run watches the list, from the index known last, until the context ends.
+func (d *discovery) run(ctx context.Context) {
+	index, pause := d.f.cfg.Known.Index, rewatchFirst
+	for ctx.Err() == nil {
+		from := index
+		err := d.watch(ctx, &index)
+		if pause = min(2*pause, rewatchMost); index != from {
+			pause = rewatchFirst
+		}
+		d.f.log.Debug("watch ended", "error", err)
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// watch follows one watch to its end and keeps the index it has come to.
+func (d *discovery) watch(ctx context.Context, index *int64) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	resp, err := d.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", d.url, *index))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	dead := time.AfterFunc(watchSilence, cancel) // protects against a machine that fell silent
+	defer dead.Stop()
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, mostList)
+	for lines.Scan() {
+		dead.Reset(watchSilence)
+		if len(bytes.TrimSpace(lines.Bytes())) == 0 {
+			continue
+		}
+		var m Members
+		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
+			return fmt.Errorf("watch: %w", err)
+		}
+		*index = m.Index
+		d.post(m)
+	}
+	return cmpErr(lines.Err(), io.EOF)
+}
+
+func cmpErr(err, otherwise error) error {
+	if err != nil {
+		return err
+	}
+	return otherwise
+}
+
+func (d *discovery) get(ctx context.Context, url string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("discovery: %s", resp.Status)
+	}
+	return resp, nil
+}
+
+// fetch gets the whole list once, for a Door that asks.
+func (d *discovery) fetch() {
+	ctx, cancel := context.WithTimeout(context.Background(), watchSilence)
+	defer cancel()
+	m, err := d.list(ctx)
+	if err != nil {
+		d.f.post(func() { d.f.tell(snowhall.List{Scope: snowhall.ListFailed}) })
+		return
+	}
+	d.post(m)
+}
+
+func (d *discovery) list(ctx context.Context) (m Members, err error) {
+	resp, err := d.get(ctx, d.url)
+	if err != nil {
+		return m, err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, mostList)).Decode(&m); err != nil {
+		return m, fmt.Errorf("list: %w", err)
+	}
+	if !m.Snapshot {
+		return m, errors.New("list: not a whole one")
+	}
+	return m, nil
+}
+
+func (d *discovery) post(m Members) {
+	scope := snowhall.Delta
+	if m.Snapshot {
+		scope = snowhall.Whole
+	}
+	d.f.post(func() { d.f.discovered(m, scope) })
+}
+
+// discovered takes news of the backends to the pools and to the Door.
+func (f *Front) discovered(m Members, scope snowhall.Scope) {
+	list := snowhall.List{Scope: scope}
+	for _, e := range m.Endpoints {
+		state, ok := statuses[e.Status]
+		if !ok || e.Name == "" {
+			f.log.Warn("an entry of the list that makes no sense", "name", e.Name, "status", e.Status)
+			continue
+		}
+		b := snowhall.Backend{Name: e.Name, Zone: max(0, index(f.cfg.Transport.Zones, e.Zone)),
+			Kind: max(0, index(f.cfg.Transport.Kinds, e.Type)), Cell: e.Group, State: state, Weight: e.Weight,
+			Started: time.Duration(e.SinceMS) * time.Millisecond}
+		list.Entries = append(list.Entries, b)
+		f.backends.listed(b, e.Address)
+	}
+	if scope != snowhall.Delta {
+		f.backends.keepOnly(list.Entries)
+	}
+	f.tell(list)
+}
--- /dev/null
+++ b/internal/front/resp.go
@@ -0,0 +1,117 @@
+package front
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+
+	"github.com/tidwall/redcon"
+)
+
+const (
+	mostValue   = 64 << 10          // bytes of a value
+	mostMessage = mostValue + 8<<10 // bytes of a whole command or answer
+	mostItems   = 64                // items of an array
+	mostHeader  = 32                // bytes of the line that gives a length
+	mostLine    = 4 << 10           // bytes of a line that is a value by itself
+)
+
+var errMalformed = errors.New("malformed RESP")
+
+// respReader reads whole RESP messages. Redcon's own reader takes any length that the other side names and
+// can't tell a message that is not yet complete from one that never will be, so frame goes first.
+type respReader struct {
+	from  io.Reader
+	buf   []byte
+	start int // of what is not yet used
+}
+
+// next returns the next message. Its bytes are good until the next call.
+func (r *respReader) next() (redcon.RESP, error) {
+	for {
+		if n, err := frame(r.buf[r.start:], 2); err != nil {
+			return redcon.RESP{}, err
+		} else if n > 0 {
+			_, m := redcon.ReadNextRESP(r.buf[r.start : r.start+n])
+			r.start += n
+			if m.Type == 0 {
+				return m, errMalformed
+			}
+			return m, nil
+		}
+		if r.start > 0 {
+			r.buf = r.buf[:copy(r.buf, r.buf[r.start:])]
+			r.start = 0
+		}
+		switch {
+		case len(r.buf) == 0 && cap(r.buf) != 4<<10:
+			r.buf = make([]byte, 0, 4<<10) // also gives back what a long message took
+		case len(r.buf) >= mostMessage:
+			return redcon.RESP{}, errMalformed
+		case len(r.buf) == cap(r.buf):
+			r.buf = append(make([]byte, 0, min(2*cap(r.buf), mostMessage)), r.buf...)
+		}
+		n, err := r.from.Read(r.buf[len(r.buf):cap(r.buf)])
+		r.buf = r.buf[:len(r.buf)+n]
+		if n == 0 && err != nil {
+			return redcon.RESP{}, err
+		}
+	}
+}
+
+// partial tells whether a message has begun and not ended.
+func (r *respReader) partial() bool { return r.start < len(r.buf) }
+
+// frame returns the length of the first message in b, 0 if it is not complete yet. It refuses what can't become
+// a message within the limits, before memory is taken for it.
+func frame(b []byte, depth int) (int, error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	most := mostLine
+	if b[0] == redcon.Bulk || b[0] == redcon.Array {
+		most = mostHeader
+	}
+	end := bytes.IndexByte(b[:min(len(b), most)], '\n')
+	switch b[0] {
+	case redcon.Integer, redcon.String, redcon.Error, redcon.Bulk, redcon.Array:
+	default:
+		return 0, errMalformed
+	}
+	if end < 0 && len(b) >= most || end == 1 || end > 0 && b[end-1] != '\r' {
+		return 0, errMalformed
+	}
+	if end < 0 {
+		return 0, nil
+	}
+	line, at := b[1:end-1], end+1
+	switch b[0] {
+	case redcon.Bulk:
+		size, err := strconv.Atoi(string(line))
+		switch {
+		case err != nil || size < -1 || size > mostValue:
+			return 0, errMalformed
+		case size < 0:
+			return at, nil
+		case len(b) < at+size+2:
+			return 0, nil
+		case b[at+size] != '\r' || b[at+size+1] != '\n':
+			return 0, errMalformed
+		}
+		return at + size + 2, nil
+	case redcon.Array:
+		count, err := strconv.Atoi(string(line))
+		if err != nil || count < -1 || count > mostItems || depth == 0 {
+			return 0, errMalformed
+		}
+		for range count {
+			n, err := frame(b[at:], depth-1)
+			if n == 0 || err != nil {
+				return 0, err
+			}
+			at += n
+		}
+	}
+	return at, nil
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -52,16 +52,22 @@
 
 var discoveries = map[string]bool{"pushed": false, "on_request": true}
 
-// settings reads the path=value pairs of a PROVISION line. Unknown paths are passed over.
+// settings reads the path=value pairs of a PROVISION line.
 func settings(parts []string) (snowhall.Settings, error) {
-	p := &pairs{m: make(map[string]string, len(parts))}
+	m := make(map[string]string, len(parts))
 	for _, s := range parts {
 		k, v, ok := strings.Cut(s, "=")
 		if !ok {
 			return snowhall.Settings{}, fmt.Errorf("setting %.40q is no pair", s)
 		}
-		p.m[k] = v
+		m[k] = v
 	}
+	return Settings(m)
+}
+
+// Settings maps settings, by their paths, to those of the module. Unknown paths are passed over.
+func Settings(m map[string]string) (snowhall.Settings, error) {
+	p := &pairs{m: m}
 	set := snowhall.Settings{
 		Doors: p.int("peers-total"), Rank: p.int("rank"), Zone: p.int("locality"),
 		Resolution: p.micros("resolution-us"), MaxAttempts: p.int("limits.max-attempts"),
@@ -95,3 +101,30 @@
 	}
 	return set, p.err
 }
+
+// Transport is the part of the settings that concerns sockets and names: the module has no use for it, a real
+// front door does.
+type Transport struct {
+	Classes, Plans, Zones, Kinds []string // names, in the order of the indices that the module uses
+	DialTimeout                  time.Duration
+	ConnIdle                     time.Duration // backends close a connection that has been idle for this long
+	MostOpen                     int           // requests that may be open at once; 0: not told
+}
+
+// ReadTransport maps settings, by their paths, to a Transport.
+func ReadTransport(m map[string]string) (Transport, error) {
+	p := &pairs{m: m}
+	names := func(list string) (all []string) {
+		for i := range p.int(list + ".count") {
+			all = append(all, m[fmt.Sprintf("%s.%d.name", list, i)])
+		}
+		return all
+	}
+	t := Transport{
+		Classes: names("classes"), Plans: names("tiers-of-service"),
+		Zones: strings.Split(m["areas"], ","), Kinds: strings.Split(m["kinds"], ","),
+		DialTimeout: p.micros("limits.dial-timeout-us"), ConnIdle: p.micros("limits.conn-idle-us"),
+		MostOpen: p.int("limits.open-cap"),
+	}
+	return t, p.err
+}
