Test the front door over loopback sockets; mend a race on leaving clients

go test -race found that client.end read slot.ask without the lock while the loop was answering (clients.go, end): the request's end could be missed or told twice. The asks are now gathered under the lock.

--- /dev/null
+++ b/internal/front/backends_test.go
@@ -0,0 +1,297 @@
+package front
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"snowhall"
+)
+
+func TestReadReply(t *testing.T) {
+	for text, want := range map[string]reply{
+		"*3\r\n$2\r\nhi\r\n$14\r\nused=37,cost=4\r\n$-1\r\n": {status: snowhall.OK, value: []byte("$2\r\nhi\r\n"), used: 38},
+		"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n":                     {status: snowhall.OK, value: []byte("$0\r\n\r\n")},
+		"-ERR failed\r\n":                                    {status: snowhall.Failed},
+		"-ERR failed used=0 inflight=7\r\n":                  {status: snowhall.Failed, used: 1},
+		"-BUSY cost=1,used=120\r\n":                          {status: snowhall.Full, used: 121},
+		"-BUSY\r\n":                                          {status: snowhall.Full},
+		"+PONG\r\n":                                          {status: snowhall.OK, odd: true},
+		"*1\r\n$-1\r\n":                                      {status: snowhall.Failed, odd: true},
+		"*0\r\n":                                             {status: snowhall.Failed, odd: true},
+		"$2\r\nhi\r\n":                                       {status: snowhall.Failed, odd: true},
+		":1\r\n":                                             {status: snowhall.Failed, odd: true},
+	} {
+		n, m := redcon.ReadNextRESP([]byte(text))
+		if got := readReply(m); n != len(text) || fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("%q: got %+v, want %+v", text, got, want)
+		}
+	}
+}
+
+// An error from one backend leads to another attempt; its connection is good for more. After a break the value
+// of a keyed request still comes from a backend.
+func TestFurtherAttempt(t *testing.T) {
+	ln := listen(t)
+	w := start(t, []string{ln.Addr().String()})
+	c := w.dial()
+	c.command("Q.DO", customer, "1", keyed, "body")
+	b := accept(t, ln)
+	b.message()
+	b.write("-ERR failed used=12\r\n")
+	b.message() // the second attempt
+	b.nc.Close()
+	b = accept(t, ln)
+	b.message()
+	b.write("*3\r\n" + bulk("done") + "$-1\r\n$-1\r\n")
+	c.wants("done")
+}
+
+// An unsafe request that may have run is neither sent again nor refused, only failed.
+func TestUnsafeRequestIsNotRepeated(t *testing.T) {
+	ln := listen(t)
+	w := start(t, []string{ln.Addr().String()})
+	c := w.dial()
+	c.command("Q.DO", customer, "1", unsafe, "body")
+	b := accept(t, ln)
+	b.message()
+	b.nc.Close()
+	c.wants("-ERR failed")
+}
+
+// Odd answers cost the connection, not the front door, and are served to nobody.
+func TestOddAnswers(t *testing.T) {
+	for _, odd := range []string{"+OK\r\n", "*1\r\n$-1\r\n", "nonsense\r\n", "$999999999\r\n", ":1\r\n", "*1\r\n*1\r\n*1\r\n*1\r\n"} {
+		ln := listen(t) // the module no longer uses a backend that fails twice
+		w := start(t, []string{ln.Addr().String()})
+		c := w.dial()
+		c.command("Q.DO", customer, "1", unsafe, "body")
+		b := accept(t, ln)
+		b.message()
+		b.write(odd)
+		c.wants("-ERR failed")
+		b.wantsEnd()
+	}
+}
+
+// An answer that nobody asked for must not be taken for that of the next request.
+func TestUnaskedAnswer(t *testing.T) {
+	ln := listen(t)
+	w := start(t, []string{ln.Addr().String()})
+	c := w.dial()
+	c.command("Q.ASK", customer, "1", list)
+	b := accept(t, ln)
+	b.message()
+	b.write("*3\r\n" + bulk("one") + "$-1\r\n$-1\r\n*3\r\n" + bulk("stray") + "$-1\r\n$-1\r\n")
+	c.wants("one")
+	b.wantsEnd()
+	c.command("Q.ASK", customer, "2", list)
+	b = accept(t, ln)
+	b.message()
+	b.write("*3\r\n" + bulk("two") + "$-1\r\n$-1\r\n")
+	c.wants("two")
+}
+
+// idle is a front door that is not running, so that a test can play its loop.
+func idle(t *testing.T, addrs ...string) *Front {
+	t.Helper()
+	f, err := New(config(t, true, 5_000_000), discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.discovered(members(1, addrs...), snowhall.Cached)
+	f.events = nil
+	t.Cleanup(func() { close(f.done) })
+	return f
+}
+
+// try makes a request with one attempt.
+func try(t *testing.T, f *Front) *attempt {
+	t.Helper()
+	a, err := f.parse("Q.ASK", [][]byte{[]byte("Q.ASK"), []byte(customer), []byte("1"), []byte(list)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.conn = &client{}
+	f.arrived(a)
+	r := f.requests[a.id]
+	f.events = nil
+	f.send(r, snowhall.Send{ID: r.id, Backend: "s-0", Timeout: 10 * time.Second})
+	return r.attempts[0]
+}
+
+// pump runs the loop's tasks until something holds.
+func pump(t *testing.T, f *Front, until func() bool) {
+	t.Helper()
+	end := time.After(patient)
+	for !until() {
+		select {
+		case task := <-f.tasks:
+			task()
+		case <-end:
+			t.Fatal("it never came to that")
+		}
+	}
+}
+
+// outcomes returns the outcomes told so far.
+func outcomes(f *Front) (all []snowhall.Outcome) {
+	for _, ev := range f.events {
+		if o, ok := ev.(snowhall.Outcome); ok {
+			all = append(all, o)
+		}
+	}
+	return all
+}
+
+func wantOutcome(t *testing.T, f *Front, want snowhall.Status) {
+	t.Helper()
+	if got := outcomes(f); len(got) != 1 || got[0].Status != want {
+		t.Errorf("outcomes %+v, want one %v", got, want)
+	}
+}
+
+func TestOneOutcomeForEachSend(t *testing.T) {
+	ends := map[string]struct {
+		want snowhall.Status
+		do   func(f *Front, a *attempt, b *peer)
+	}{
+		"cancel":  {snowhall.Cancelled, func(f *Front, a *attempt, b *peer) { f.act(snowhall.Cancel{ID: a.r.id}) }},
+		"timeout": {snowhall.Timeout, func(f *Front, a *attempt, b *peer) { f.timers.run(a.until) }},
+		"reset":   {snowhall.Reset, func(f *Front, a *attempt, b *peer) { b.nc.Close() }},
+		"gone":    {snowhall.Cancelled, func(f *Front, a *attempt, b *peer) { f.gone(a.r.ask) }},
+		"full":    {snowhall.Full, func(f *Front, a *attempt, b *peer) { b.write("-BUSY\r\n") }},
+		"served":  {snowhall.OK, func(f *Front, a *attempt, b *peer) { b.write("*1\r\n$1\r\nx\r\n") }},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			ln := listen(t)
+			f := idle(t, ln.Addr().String())
+			a := try(t, f)
+			b := accept(t, ln)
+			pump(t, f, func() bool { return a.conn.sent.Load() != unsent })
+			b.message()
+			conn := a.conn
+			for conn.sent.Load() != whole {
+				time.Sleep(time.Millisecond)
+			}
+			end.do(f, a, b)
+			pump(t, f, func() bool { return a.ended })
+			wantOutcome(t, f, end.want)
+			f.act(snowhall.Cancel{ID: a.r.id}) // what comes later changes nothing
+			f.timers.run(a.until)
+			conn.ended()
+			wantOutcome(t, f, end.want)
+			if end.want != snowhall.Full && end.want != snowhall.OK {
+				b.wantsEnd()
+			}
+		})
+	}
+}
+
+// A request whose connection is still being made when its backend drains, the attempt is called off or the client
+// leaves must not be written afterwards.
+func TestPendingDialIsNotWritten(t *testing.T) {
+	for name, end := range map[string]func(f *Front, a *attempt){
+		"drain": func(f *Front, a *attempt) {
+			m := members(2, f.backends.all["s-0"].addr)
+			m.Endpoints[0].Status = "DRAINING"
+			f.discovered(m, snowhall.Delta)
+		},
+		"left out": func(f *Front, a *attempt) { f.discovered(members(2), snowhall.Whole) },
+		"cancel":   func(f *Front, a *attempt) { f.act(snowhall.Cancel{ID: a.r.id}) },
+		"gone":     func(f *Front, a *attempt) { f.gone(a.r.ask) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln := listen(t)
+			f := idle(t, ln.Addr().String())
+			a := try(t, f)
+			b := accept(t, ln) // the connection is up, but the loop has not heard of it
+			end(f, a)
+			wantOutcome(t, f, snowhall.Moot)
+			for len(f.tasks) > 0 {
+				(<-f.tasks)()
+			}
+			go func() { // whatever the dial still reports
+				for {
+					select {
+					case task := <-f.tasks:
+						task()
+					case <-f.done:
+						return
+					}
+				}
+			}()
+			b.wantsEnd()
+		})
+	}
+}
+
+func TestConnectFailed(t *testing.T) {
+	f := idle(t, freeAddr(t))
+	a := try(t, f)
+	pump(t, f, func() bool { return a.ended })
+	wantOutcome(t, f, snowhall.ConnectFailed)
+}
+
+// A backend that has fallen silent may be a machine that is gone: connections that were idle since then are not
+// used again. One that was started anew has none of its old ones.
+func TestSilentAndRestartedBackendsLoseIdleConnections(t *testing.T) {
+	ln := listen(t)
+	f := idle(t, ln.Addr().String())
+	b := f.backends.all["s-0"]
+	for _, end := range []func(){
+		func() { f.backends.silent(b, f.now()) },
+		func() {
+			m := members(2, b.addr)
+			m.Endpoints[0].SinceMS = 5
+			f.discovered(m, snowhall.Delta)
+		},
+	} {
+		a := try(t, f)
+		p := accept(t, ln)
+		pump(t, f, func() bool { return a.conn.sent.Load() != unsent })
+		p.message()
+		for c := a.conn; c.sent.Load() != whole; {
+			time.Sleep(time.Millisecond)
+		}
+		p.write("*1\r\n$1\r\nx\r\n")
+		pump(t, f, func() bool { return len(b.idle) == 1 })
+		end()
+		if len(b.idle) != 0 || f.backends.count != 0 {
+			t.Errorf("%d idle connections, %d in all", len(b.idle), f.backends.count)
+		}
+		p.wantsEnd()
+	}
+}
+
+// Probes end once, whatever comes back.
+func TestProbe(t *testing.T) {
+	ln := listen(t)
+	f := idle(t, ln.Addr().String())
+	for text, want := range map[string]snowhall.Status{"+PONG\r\n": snowhall.OK, "-ERR no\r\n": snowhall.Failed} {
+		f.events = nil
+		f.backends.probe("s-0")
+		p := accept(t, ln)
+		pump(t, f, func() bool { return f.backends.count == 1 && len(f.tasks) == 0 && f.backends.dialled("s-0") })
+		if m := p.message(); m[0] != "PING" {
+			t.Fatalf("got %q", m)
+		}
+		p.write(text)
+		pump(t, f, func() bool { return len(f.events) > 0 })
+		if got := f.events[0].(snowhall.Probed); got.Status != want {
+			t.Errorf("%q: %+v", text, got)
+		}
+	}
+}
+
+func (bs *backends) dialled(name string) bool {
+	for c := range bs.all[name].conns {
+		if c.nc == nil {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -283,7 +283,12 @@
 func (c *client) end() {
 	c.mu.Lock()
 	c.close()
-	left := c.slots
+	var left []*ask // gathered under the lock, as the loop may be answering
+	for _, s := range c.slots {
+		if s.ask != nil {
+			left = append(left, s.ask)
+		}
+	}
 	c.slots = nil
 	c.mu.Unlock()
 	c.cs.mu.Lock()
@@ -291,10 +296,8 @@
 	c.cs.mu.Unlock()
 	c.cs.count.Add(-1)
 	f := c.cs.f
-	for _, s := range left {
-		if a := s.ask; a != nil {
-			f.post(func() { f.gone(a) })
-		}
+	for _, a := range left {
+		f.post(func() { f.gone(a) })
 	}
 }
 
--- /dev/null
+++ b/internal/front/discovery_test.go
@@ -0,0 +1,46 @@
+package front
+
+import "testing"
+
+// Changes reach the pools and the Door, and a watch that ends is taken up from the last index.
+func TestWatch(t *testing.T) {
+	first, second := listen(t), listen(t)
+	w := start(t, []string{first.Addr().String()})
+	if from := <-w.watches; from != "1" {
+		t.Errorf("the watch begins at %s", from)
+	}
+	m := members(7, first.Addr().String(), second.Addr().String())
+	m.Snapshot = false
+	m.Endpoints[0].Status = "DRAINING"
+	w.news <- m
+	w.news <- Members{Index: -1}
+	if from := <-w.watches; from != "7" {
+		t.Errorf("the watch goes on at %s", from)
+	}
+	c := w.dial()
+	c.command("Q.ASK", customer, "1", list)
+	b := accept(t, second)
+	b.message()
+	b.write("*1\r\n" + bulk("value"))
+	c.wants("value")
+}
+
+// What makes no sense in a list is passed over; a line that is no list ends the watch only.
+func TestOddLists(t *testing.T) {
+	ln := listen(t)
+	w := start(t, nil)
+	m := members(3, ln.Addr().String())
+	odd := m.Endpoints[0]
+	odd.Status = "ASLEEP"
+	m.Endpoints = append(m.Endpoints, odd, Endpoint{})
+	w.news <- m
+	w.news <- Members{Index: -1}
+	<-w.watches
+	<-w.watches
+	c := w.dial()
+	c.command("Q.ASK", customer, "1", list)
+	b := accept(t, ln)
+	b.message()
+	b.write("*1\r\n" + bulk("value"))
+	c.wants("value")
+}
--- /dev/null
+++ b/internal/front/resp_test.go
@@ -0,0 +1,51 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+func TestRespReaderTakesPieces(t *testing.T) {
+	text := "*2\r\n$3\r\na\r\n\r\n*1\r\n$-1\r\n+OK\r\n-ERR x\r\n:5\r\n$" + "65536\r\n" + strings.Repeat("x", mostValue) + "\r\n"
+	in := &respReader{from: iotest.OneByteReader(strings.NewReader(text))}
+	var got string
+	for {
+		m, err := in.next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		got += string(m.Raw)
+	}
+	if got != text || in.partial() {
+		t.Errorf("%d of %d bytes", len(got), len(text))
+	}
+}
+
+// Neither a length nor a count that the other side names takes memory before the bytes have come.
+func TestRespReaderRefuses(t *testing.T) {
+	for _, bad := range []string{"PING\r\n", "\n", "$x\r\n", "$-2\r\n", "$65537\r\n", "*65\r\n", "*-2\r\n", "$1\r\nab\r\n",
+		"*1\n", "$" + strings.Repeat("1", mostHeader), "+" + strings.Repeat("a", mostLine), "*1\r\n*1\r\n*1\r\n:1\r\n"} {
+		in := &respReader{from: io.MultiReader(strings.NewReader(bad), iotest.ErrReader(errors.New("asked for more")))}
+		if _, err := in.next(); !errors.Is(err, errMalformed) {
+			t.Errorf("%.40q: %v", bad, err)
+		}
+	}
+}
+
+func FuzzRespReader(f *testing.F) {
+	f.Add("*1\r\n$4\r\nPING\r\n")
+	f.Fuzz(func(t *testing.T, s string) {
+		in := &respReader{from: strings.NewReader(s)}
+		for {
+			if _, err := in.next(); err != nil {
+				return
+			}
+		}
+	})
+}
