Refuse at once what would wait long in line for the ceiling's share

A customer far beyond its ceiling so kept a line of half a second, and each request that did go out was nearly late. Now a request is refused on arrival, with the time to stay away, when what stands before it fills more than ceilWait of its time: the test that hopeless makes of a backend's queue, made of this line.

--- a/door.go
+++ b/door.go
@@ -132,6 +132,10 @@
 	gap := (d.now - r.c.demandAt).Seconds() / demandOver.Seconds()
 	r.c.demand = r.c.demand*math.Exp(-gap) + r.units/demandOver.Seconds()
 	r.c.demandAt = d.now
+	if fills := d.ceilingFills(r); fills > r.tau.Seconds()*ceilWait {
+		d.refuse(r, time.Duration(fills*float64(time.Second)))
+		return
+	}
 	r.c.waiting = append(r.c.waiting, r)
 	d.serve(r.c)
 }
@@ -345,6 +349,23 @@
 	return c.ceil
 }
 
+// ceilingFills is the time in seconds until this door's share of the ceiling has room for a request that joins
+// its customer's line. Without this test a customer far beyond the ceiling keeps a line as long as its requests
+// can wait, and each that still goes out, those inside the quota too, is then nearly or quite too late.
+func (d *Door) ceilingFills(r *request) float64 {
+	p := &d.set.Plans[r.plan]
+	if p.CeilingRate == 0 {
+		return 0
+	}
+	short := r.units + r.c.ceilQueued - d.ceiling(r.c, p)
+	for _, o := range r.c.waiting {
+		if !o.ended {
+			short += o.units
+		}
+	}
+	return max(0, short) * r.c.doors / p.CeilingRate
+}
+
 // latency is the time an answer takes, by recent ones: the class's mean times the server's slowness.
 func (d *Door) latency(r *request, s *server) float64 {
 	if s != nil {
