--- a/internal/front/discovery.go
+++ b/internal/front/discovery.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	watchSilence = 5 * time.Second // a watch gives a sign every 2 s; one silent for so long is dead
+	watchSilence = 4 * time.Second // a watch gives a sign every 2 s; one silent for so long is dead
 	rewatchFirst = 100 * time.Millisecond
 	rewatchMost  = time.Second
 	mostList     = 1 << 20 // bytes of a list
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -187,7 +187,7 @@
 	case snowhall.Count:
 		f.counter.add(a)
 	case snowhall.SetTimer:
-		f.timers.add(a.At, func() { f.tell(snowhall.Timer{Cookie: a.Cookie}) })
+		f.timers.add(f.coarse(a.At), func() { f.tell(snowhall.Timer{Cookie: a.Cookie}) })
 	case snowhall.Watch, snowhall.Fetch:
 		go f.discovery.fetch()
 	case snowhall.Log:
@@ -195,6 +195,15 @@
 	}
 }
 
+// coarse rounds the time of a Door's timer up to the resolution, which the Door allows for. Most of its timers
+// find nothing left to do, and a wake-up costs more than they do: this lets several share one.
+func (f *Front) coarse(at time.Duration) time.Duration {
+	if res := f.cfg.Settings.Resolution; res > 0 {
+		return (at + res - 1) / res * res
+	}
+	return at
+}
+
 // busyAnswer is a refusal, with the time to stay away in whole milliseconds.
 func busyAnswer(pause time.Duration) []byte {
 	if pause <= 0 {
--- a/internal/front/loop_test.go
+++ b/internal/front/loop_test.go
@@ -99,3 +99,14 @@
 	b.write("*1\r\n" + bulk("value"))
 	c.wants("value")
 }
+
+// A Door's timers are never early, and no more than the resolution late.
+func TestCoarseTimers(t *testing.T) {
+	f := idle(t)
+	res := f.cfg.Settings.Resolution
+	for at := 7 * res; at <= 8*res; at += res / 4 {
+		if got := f.coarse(at); got < at || got >= at+res || got%res != 0 {
+			t.Errorf("%v became %v", at, got)
+		}
+	}
+}
