Take no further requests on a connection that is to be closed

Seen while reading clients.go for the shutdown: drain marked a connection to be closed after its last answer, but its reader went on taking requests. One that is always busy would have stayed open until the front door's end, and what it had taken last would have been lost there. From the moment of draining, what is read counts as crossing the close (clients.go, read), and all connections are marked before the first is closed.

Checked: TestShutdownAnswersWhatWasTaken sends a second request on a busy connection after draining began; it must see the first answer, then the end.

--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -104,9 +104,13 @@
 		all = append(all, c)
 	}
 	cs.mu.Unlock()
-	for _, c := range all {
+	for _, c := range all { // all first, so that no client finds one closed and turns to another
 		c.mu.Lock()
 		c.last = true
+		c.mu.Unlock()
+	}
+	for _, c := range all {
+		c.mu.Lock()
 		c.closeIfIdle()
 		c.mu.Unlock()
 	}
@@ -142,6 +146,12 @@
 			}
 			return
 		}
+		// At a shutdown a connection that is always busy would never come to its end: what is read from then on
+		// counts as crossing the close, and the client sends it elsewhere.
+		if c.leaving() {
+			c.closeAfterAnswers()
+			return
+		}
 		if !c.command(m) {
 			return
 		}
@@ -255,6 +265,13 @@
 	c.closeIfIdle()
 }
 
+// leaving says that the connection is to be closed after the answers that it owes.
+func (c *client) leaving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
 // closeAfterAnswers closes the connection once all that it was asked is answered.
 func (c *client) closeAfterAnswers() {
 	c.mu.Lock()
--- a/internal/front/loop_test.go
+++ b/internal/front/loop_test.go
@@ -71,6 +71,7 @@
 	late.wants("+PONG")
 	quiet.wantsEnd()
 	late.wantsEnd()
+	early.command("Q.ASK", customer, "2", list) // too late: it must not keep the connection open
 	b.write("*1\r\n" + bulk("value"))
 	early.wants("value")
 	early.wantsEnd()
