--- a/internal/front/counter_test.go
+++ b/internal/front/counter_test.go
@@ -128,10 +128,10 @@
 	count(f, 8, 1)
 	p = accept(t, ln)
 	pump(t, f, func() bool { return l.nc != nil })
+	p.reads("add 8 1 4000\r\n")
 	p.write("ok 1\r\n")
 	pump(t, f, func() bool { return len(l.calls) == 0 })
 	l.used -= counterIdle
 	f.counter.sweep()
-	p.reads("add 8 1 4000\r\n")
 	p.wantsEnd()
 }
