Read the configuration again on SIGHUP instead of ending

Now the file is read off the loop; the watch moves to the new address from the loop's index, the counter's unwritten calls move, owed answers are still taken and told of in the order of a name's calls (discovery.go follow, counter.go move and end). No goroutine reads an address that the loop changes.

--- a/cmd/gapgap/main.go
+++ b/cmd/gapgap/main.go
@@ -22,8 +22,12 @@
 	}
 }
 
-// run serves until SIGTERM or an interrupt, and then until what was taken is answered.
+// run serves until SIGTERM or an interrupt, and then until what was taken is answered. SIGHUP makes it read the
+// configuration again.
 func run() error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // first of all: by default the signal ends the program
+	defer signal.Stop(hup)
 	cfg, err := readConfig()
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -43,18 +47,37 @@
 	if err != nil {
 		return err
 	}
+	ended := make(chan struct{})
+	defer close(ended)
+	go reload(hup, ended, f, log)
 	f.Run(ctx, ln)
 	return nil
 }
 
-// readConfig reads the file that NODE_CONFIG names; the other variables go before what it says.
-func readConfig() (*front.Config, error) {
-	file, err := os.Open(os.Getenv("NODE_CONFIG"))
-	if err != nil {
-		return nil, fmt.Errorf("NODE_CONFIG: %w", err)
+// reload reads the file again at each signal. The file now goes before the environment, which tells what held at
+// the start; only the addresses of discovery and the counter change.
+func reload(hup <-chan os.Signal, ended <-chan struct{}, f *front.Front, log *slog.Logger) {
+	for {
+		select {
+		case <-hup:
+		case <-ended:
+			return
+		}
+		cfg, err := readFile()
+		if err == nil {
+			err = cfg.Check()
+		}
+		if err != nil {
+			log.Error("the new configuration is not used", "error", err)
+			continue
+		}
+		f.Reload(cfg.Discovery, cfg.Counter)
 	}
-	defer file.Close()
-	cfg, err := front.ReadConfig(file)
+}
+
+// readConfig reads the configuration; the other variables go before what the file says.
+func readConfig() (*front.Config, error) {
+	cfg, err := readFile()
 	if err != nil {
 		return nil, err
 	}
@@ -66,3 +89,13 @@
 	}
 	return cfg, cfg.Check()
 }
+
+// readFile reads the file that NODE_CONFIG names.
+func readFile() (*front.Config, error) {
+	file, err := os.Open(os.Getenv("NODE_CONFIG"))
+	if err != nil {
+		return nil, fmt.Errorf("NODE_CONFIG: %w", err)
+	}
+	defer file.Close()
+	return front.ReadConfig(file)
+}
--- a/cmd/gapgap/main_test.go
+++ b/cmd/gapgap/main_test.go
@@ -1,10 +1,15 @@
 package main
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 )
 
 // A front door that can't start says why in one line; the address it is to listen on is no exception.
@@ -44,3 +49,59 @@
 		t.Errorf("%+v, %v", c, err)
 	}
 }
+
+// SIGHUP must not end the program: an unusable file changes nothing, and a usable one goes before the environment.
+func TestReload(t *testing.T) {
+	watched := make(chan string, 64)
+	agent := func(name string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { watched <- name }))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	file := filepath.Join(t.TempDir(), "config.json")
+	write := func(discovery string) {
+		t.Helper()
+		text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1","settings":{"peers-total":1,`+
+			`"limits":{"max-attempts":1,"dial-timeout-us":1000},"classes":[{"name":"a"}],"tiers-of-service":[{"name":"b"}]}}`, discovery)
+		if err := os.WriteFile(file+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(file+".new", file); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wait := func(name string) {
+		t.Helper()
+		for limit := time.After(20 * time.Second); ; {
+			select {
+			case got := <-watched:
+				if got == name {
+					return
+				}
+			case <-limit:
+				t.Fatalf("%s is not watched", name)
+			}
+		}
+	}
+	signal := func(s syscall.Signal) {
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("127.0.0.1:1")
+	t.Setenv("NODE_CONFIG", file)
+	t.Setenv("NODE_DISCOVERY", agent("first"))
+	ended := make(chan error, 1)
+	go func() { ended <- run() }()
+	wait("first")
+	write("nowhere")
+	signal(syscall.SIGHUP)
+	wait("first")
+	write(agent("second"))
+	signal(syscall.SIGHUP)
+	wait("second")
+	signal(syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/front/backends_test.go
+++ b/internal/front/backends_test.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.discovered(members(1, addrs...), snowhall.Cached)
+	f.take(members(1, addrs...), snowhall.Cached)
 	f.events = nil
 	t.Cleanup(func() { close(f.done) })
 	return f
@@ -198,9 +198,9 @@
 		"drain": func(f *Front, a *attempt) {
 			m := members(2, f.backends.all["s-0"].addr)
 			m.Endpoints[0].Status = "DRAINING"
-			f.discovered(m, snowhall.Delta)
+			f.take(m, snowhall.Delta)
 		},
-		"left out": func(f *Front, a *attempt) { f.discovered(members(2), snowhall.Whole) },
+		"left out": func(f *Front, a *attempt) { f.take(members(2), snowhall.Whole) },
 		"cancel":   func(f *Front, a *attempt) { f.act(snowhall.Cancel{ID: a.r.id}) },
 		"gone":     func(f *Front, a *attempt) { f.gone(a.r.ask) },
 	} {
@@ -270,7 +270,7 @@
 		func() {
 			m := members(2, b.addr)
 			m.Endpoints[0].SinceMS = 5
-			f.discovered(m, snowhall.Delta)
+			f.take(m, snowhall.Delta)
 		},
 	} {
 		a := try(t, f)
--- a/internal/front/counter.go
+++ b/internal/front/counter.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,19 +19,24 @@
 	counterSilence = 2 * time.Second // a connection that owes answers for so long is given up
 	counterOwed    = 1024            // calls of one connection whose answers are still to come
 	counterLine    = 256             // bytes of an answer
+	counterMoved   = 2 * time.Second // at an old address answers are awaited no longer
 )
 
 // counter calls the quota counter. The calls of one name go by one connection, one behind another.
 type counter struct {
 	f     *Front
+	addr  string
 	lines [counterConns]*line
+	open  map[uint64][]*call // not yet told of, by name in the order of the calls
 }
 
 // line is a place for a connection to the counter, and the calls that go by it. The loop owns it.
 type line struct {
 	f     *Front
+	addr  string
 	nc    net.Conn // nil: none yet
 	dials bool
+	left  bool    // the counter is at another address now
 	epoch int     // of the connection: what an older one still reports is passed over
 	calls []*call // in the order of their answers, those given up on too
 	wire  chan []byte
@@ -41,24 +47,56 @@
 // call is one add whose answer is still to come.
 type call struct {
 	name    uint64
+	line    *line
 	text    []byte
 	written bool // it may have reached the counter
 	ended   bool
+	result  snowhall.Counted // once it has ended
 	timeout *timer
 }
 
 func newCounter(f *Front) *counter {
-	c := &counter{f: f}
-	for i := range c.lines {
-		c.lines[i] = &line{f: f}
-	}
+	c := &counter{f: f, open: map[uint64][]*call{}}
+	c.move(f.cfg.Counter)
 	return c
 }
 
+// move takes further calls, and those not yet written, to another address. What is owed by the old one may
+// still come.
+func (c *counter) move(addr string) {
+	c.addr = addr
+	now := c.f.now()
+	for i, old := range c.lines {
+		l := &line{f: c.f, addr: addr, used: now, owed: now}
+		c.lines[i] = l
+		if old == nil {
+			continue
+		}
+		kept := 0
+		for kept < len(old.calls) && old.calls[kept].written { // those written come first
+			kept++
+		}
+		l.calls, old.calls = slices.Clone(old.calls[kept:]), old.calls[:kept]
+		for _, k := range l.calls {
+			k.line = l
+		}
+		old.left = true
+		if len(old.calls) == 0 {
+			old.close()
+		} else {
+			c.f.timers.add(now+counterMoved, func() { old.broke(old.epoch) })
+		}
+		if len(l.calls) > 0 {
+			l.flush()
+		}
+	}
+}
+
 // add makes a call.
 func (c *counter) add(a snowhall.Count) {
 	l := c.lines[a.Name%counterConns]
-	k := &call{name: a.Name}
+	k := &call{name: a.Name, line: l}
+	c.open[k.name] = append(c.open[k.name], k)
 	if !c.f.cfg.Settings.Counter || len(l.calls) >= counterOwed {
 		l.end(k, snowhall.ConnectFailed, 0)
 		return
@@ -71,7 +109,7 @@
 	}
 	l.calls = append(l.calls, k)
 	l.used = now
-	k.timeout = c.f.timers.add(now+c.f.cfg.Settings.CounterTimeout, func() { l.giveUp(k) })
+	k.timeout = c.f.timers.add(now+c.f.cfg.Settings.CounterTimeout, func() { k.line.giveUp(k) })
 	l.flush()
 }
 
@@ -91,22 +129,32 @@
 	l.end(k, snowhall.ConnectFailed, 0)
 }
 
-// end gives the one answer to a call.
+// end gives the one answer to a call, once those for the calls of its name before it are given: after a move
+// two connections may owe answers for one name.
 func (l *line) end(k *call, status snowhall.Status, total float64) {
 	if k.ended {
 		return
 	}
 	k.ended = true
+	k.result = snowhall.Counted{Name: k.name, Status: status, Total: total}
 	l.f.timers.stop(k.timeout)
-	l.f.tell(snowhall.Counted{Name: k.name, Status: status, Total: total})
+	open := l.f.counter.open
+	all := open[k.name]
+	for len(all) > 0 && all[0].ended {
+		l.f.tell(all[0].result)
+		all = all[1:]
+	}
+	if open[k.name] = all; len(all) == 0 {
+		delete(open, k.name)
+	}
 }
 
 // flush writes the calls that are not written yet, or dials first.
 func (l *line) flush() {
 	if l.nc == nil {
-		if !l.dials {
+		if !l.dials && !l.left {
 			l.dials = true
-			go l.dial()
+			go l.dial(l.addr)
 		}
 		return
 	}
@@ -128,10 +176,16 @@
 }
 
 // dial connects. It gives up when the calls that wait for it have.
-func (l *line) dial() {
-	nc, err := net.DialTimeout("tcp", l.f.cfg.Counter, l.f.cfg.Transport.DialTimeout)
+func (l *line) dial(addr string) {
+	nc, err := net.DialTimeout("tcp", addr, l.f.cfg.Transport.DialTimeout)
 	l.f.post(func() {
 		l.dials = false
+		if l.left { // the calls have moved
+			if err == nil {
+				nc.Close()
+			}
+			return
+		}
 		if err != nil {
 			l.broke(l.epoch)
 			return
@@ -206,6 +260,9 @@
 	l.used = l.f.now()
 	l.owed = l.used
 	l.end(k, status, total)
+	if l.left && len(l.calls) == 0 {
+		l.close()
+	}
 }
 
 // broke ends a connection, or the try to get one, and what waits for it.
--- a/internal/front/counter_test.go
+++ b/internal/front/counter_test.go
@@ -31,7 +31,7 @@
 func TestCounterKeepsPlaces(t *testing.T) {
 	ln := listen(t)
 	f := idle(t)
-	f.cfg.Counter = ln.Addr().String()
+	f.counter.move(ln.Addr().String())
 	count(f, 8, -2.5)
 	p := accept(t, ln)
 	pump(t, f, func() bool { return f.counter.lines[0].nc != nil })
@@ -71,7 +71,7 @@
 func TestCounterCallGivenUpBeforeItIsWritten(t *testing.T) {
 	ln := listen(t)
 	f := idle(t)
-	f.cfg.Counter = ln.Addr().String()
+	f.counter.move(ln.Addr().String())
 	count(f, 8, 1)
 	p := accept(t, ln) // the connection is up, but the loop has not heard of it
 	giveUpCalls(f)
@@ -87,7 +87,7 @@
 func TestCounterConnectionLost(t *testing.T) {
 	ln := listen(t)
 	f := idle(t)
-	f.cfg.Counter = ln.Addr().String()
+	f.counter.move(ln.Addr().String())
 	for _, odd := range []string{"", "what\r\n", "ok x\r\n", "ok nan\r\n", strings.Repeat("o", 2*counterLine)} {
 		f.events = nil
 		count(f, 8, 1)
@@ -103,7 +103,7 @@
 			t.Errorf("%.20q: %+v", odd, got)
 		}
 	}
-	f.cfg.Counter = freeAddr(t)
+	f.counter.move(freeAddr(t))
 	f.events = nil
 	count(f, 8, 1)
 	pump(t, f, func() bool { return len(counted(f)) > 0 })
@@ -115,7 +115,7 @@
 func TestCounterSweep(t *testing.T) {
 	ln := listen(t)
 	f := idle(t)
-	f.cfg.Counter = ln.Addr().String()
+	f.counter.move(ln.Addr().String())
 	count(f, 8, 1)
 	p := accept(t, ln)
 	l := f.counter.lines[0]
@@ -135,3 +135,38 @@
 	f.counter.sweep()
 	p.wantsEnd()
 }
+
+// A new configuration moves the counter: calls not yet written go to the new address, answers owed by the old one
+// still count, and those of one name are told of in the order of the calls.
+func TestCounterMoves(t *testing.T) {
+	first, second := listen(t), listen(t)
+	f := idle(t)
+	f.cfg.Settings.CounterTimeout = patient
+	f.counter.move(first.Addr().String())
+	count(f, 8, 1)
+	p := accept(t, first)
+	pump(t, f, func() bool { return f.counter.lines[0].nc != nil })
+	p.reads("add 8 1 4000\r\n")
+	count(f, 9, 1) // its connection is not up yet
+	f.counter.move(second.Addr().String())
+	count(f, 8, 2)
+	for range 2 {
+		q := accept(t, second)
+		go func() {
+			for line, err := q.in.ReadString('\n'); err == nil; line, err = q.in.ReadString('\n') {
+				q.write("ok 1" + line[4:5] + "\r\n") // 18 and 19
+			}
+		}()
+	}
+	pump(t, f, func() bool { return len(counted(f)) == 1 }) // that of 9
+	pump(t, f, func() bool { return len(f.counter.lines[0].calls) == 0 })
+	if got := counted(f); len(got) != 1 || got[0].Name != 9 || got[0].Total != 19 {
+		t.Fatalf("before the old counter has answered: %+v", got)
+	}
+	p.write("ok 7\r\n")
+	pump(t, f, func() bool { return len(counted(f)) == 3 })
+	if got := counted(f)[1:]; got[0].Total != 7 || got[1].Total != 18 {
+		t.Errorf("got %+v", got)
+	}
+	p.wantsEnd()
+}
--- a/internal/front/discovery.go
+++ b/internal/front/discovery.go
@@ -18,8 +18,8 @@
 const (
 	watchSilence = 4 * time.Second // a watch gives a sign every 2 s; one silent for so long is dead
 	rewatchFirst = 100 * time.Millisecond
-	rewatchMost  = time.Second
-	mostList     = 1 << 20 // bytes of a list
+	rewatchMost  = 500 * time.Millisecond // the agent is on this machine and asking it costs nothing
+	mostList     = 1 << 20                // bytes of a list
 )
 
 // Members is a list of backends, or changes of it, in discovery's form.
@@ -44,25 +44,41 @@
 var statuses = map[string]snowhall.State{"SERVING": snowhall.InService, "DRAINING": snowhall.Terminating,
 	"DELETED": snowhall.Terminated}
 
-// discovery follows the list of backends.
+// discovery follows the list of backends. The loop owns it; the goroutines that read are given an address.
 type discovery struct {
-	f    *Front
-	http *http.Client
-	url  string
+	f     *Front
+	http  *http.Client
+	addr  string
+	index int64 // of the list as the loop has it
+	epoch int   // of the watch: what an older one still reads is passed over
+	stop  context.CancelFunc
 }
 
 func newDiscovery(f *Front) *discovery {
 	t := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 		ResponseHeaderTimeout: watchSilence, MaxConnsPerHost: 4}
-	return &discovery{f: f, http: &http.Client{Transport: t}, url: "http://" + f.cfg.Discovery + "/catalog/members"}
+	return &discovery{f: f, http: &http.Client{Transport: t}, addr: f.cfg.Discovery, index: f.cfg.Known.Index,
+		stop: func() {}}
 }
 
-// run watches the list, from the index known last, until the context ends.
-func (d *discovery) run(ctx context.Context) {
-	index, pause := d.f.cfg.Known.Index, rewatchFirst
+// follow begins to watch at an address, from the index known last, and leaves the watch before.
+func (d *discovery) follow(addr string) {
+	d.stop()
+	d.addr = addr
+	d.epoch++
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	go d.run(ctx, addr, d.index, d.epoch)
+}
+
+func membersURL(addr string) string { return "http://" + addr + "/catalog/members" }
+
+// run watches the list until the context ends.
+func (d *discovery) run(ctx context.Context, addr string, index int64, epoch int) {
+	pause := rewatchFirst
 	for ctx.Err() == nil {
 		from := index
-		err := d.watch(ctx, &index)
+		err := d.watch(ctx, addr, &index, epoch)
 		if pause = min(2*pause, rewatchMost); index != from {
 			pause = rewatchFirst
 		}
@@ -75,10 +91,10 @@
 }
 
 // watch follows one watch to its end and keeps the index it has come to.
-func (d *discovery) watch(ctx context.Context, index *int64) error {
+func (d *discovery) watch(ctx context.Context, addr string, index *int64, epoch int) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, err := d.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", d.url, *index))
+	resp, err := d.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", membersURL(addr), *index))
 	if err != nil {
 		return err
 	}
@@ -97,7 +113,11 @@
 			return fmt.Errorf("watch: %w", err)
 		}
 		*index = m.Index
-		d.post(m)
+		d.f.post(func() {
+			if epoch == d.epoch { // else the next watch brings it again, from the index that the loop had
+				d.f.discovered(m)
+			}
+		})
 	}
 	return cmpErr(lines.Err(), io.EOF)
 }
@@ -126,19 +146,19 @@
 }
 
 // fetch gets the whole list once, for a Door that asks.
-func (d *discovery) fetch() {
+func (d *discovery) fetch(addr string) {
 	ctx, cancel := context.WithTimeout(context.Background(), watchSilence)
 	defer cancel()
-	m, err := d.list(ctx)
+	m, err := d.list(ctx, addr)
 	if err != nil {
 		d.f.post(func() { d.f.tell(snowhall.List{Scope: snowhall.ListFailed}) })
 		return
 	}
-	d.post(m)
+	d.f.post(func() { d.f.discovered(m) })
 }
 
-func (d *discovery) list(ctx context.Context) (m Members, err error) {
-	resp, err := d.get(ctx, d.url)
+func (d *discovery) list(ctx context.Context, addr string) (m Members, err error) {
+	resp, err := d.get(ctx, membersURL(addr))
 	if err != nil {
 		return m, err
 	}
@@ -152,16 +172,18 @@
 	return m, nil
 }
 
-func (d *discovery) post(m Members) {
+// discovered takes news of the backends to the pools and to the Door.
+func (f *Front) discovered(m Members) {
 	scope := snowhall.Delta
 	if m.Snapshot {
 		scope = snowhall.Whole
 	}
-	d.f.post(func() { d.f.discovered(m, scope) })
+	f.discovery.index = m.Index
+	f.take(m, scope)
 }
 
-// discovered takes news of the backends to the pools and to the Door.
-func (f *Front) discovered(m Members, scope snowhall.Scope) {
+// take hands a list or its changes on.
+func (f *Front) take(m Members, scope snowhall.Scope) {
 	list := snowhall.List{Scope: scope}
 	for _, e := range m.Endpoints {
 		state, ok := statuses[e.Status]
--- a/internal/front/discovery_test.go
+++ b/internal/front/discovery_test.go
@@ -1,6 +1,11 @@
 package front
 
-import "testing"
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
 
 // Changes reach the pools and the Door, and a watch that ends is taken up from the last index.
 func TestWatch(t *testing.T) {
@@ -48,3 +53,31 @@
 	b.write("*1\r\n" + bulk("value"))
 	c.wants("value")
 }
+
+// A new configuration moves the watch, from the index that was reached; what the old agent still says is no
+// longer taken.
+func TestWatchMoves(t *testing.T) {
+	ln := listen(t)
+	w := start(t, nil)
+	<-w.watches
+	w.news <- members(5)
+	next := &world{t: t, news: make(chan Members), watches: make(chan string, 16)}
+	agent := httptest.NewServer(http.HandlerFunc(next.serveWatch))
+	defer agent.Close()
+	defer agent.CloseClientConnections()
+	w.news <- Members{Index: -1} // the list was read before the watch ended, and the next begins
+	if from := <-w.watches; from != "5" {
+		t.Errorf("the watch goes on at %s", from)
+	}
+	w.f.Reload(strings.TrimPrefix(agent.URL, "http://"), w.f.cfg.Counter)
+	if from := <-next.watches; from != "5" {
+		t.Errorf("the watch begins at %s", from)
+	}
+	next.news <- members(6, ln.Addr().String())
+	c := w.dial()
+	c.command("Q.ASK", customer, "1", list)
+	b := accept(t, ln)
+	b.message()
+	b.write("*1\r\n" + bulk("value"))
+	c.wants("value")
+}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -89,11 +89,10 @@
 func (f *Front) Run(ctx context.Context, ln net.Listener) {
 	defer close(f.done)
 	defer ln.Close()
-	f.discovered(f.cfg.Known, snowhall.Cached)
+	f.take(f.cfg.Known, snowhall.Cached)
 	f.step() // from here on it is able to serve
-	work, stop := context.WithCancel(context.Background())
-	defer stop()
-	go f.discovery.run(work)
+	f.discovery.follow(f.discovery.addr)
+	defer func() { f.discovery.stop() }()
 	go f.clients.accept(ln)
 	f.log.Info("serving", "listen", ln.Addr(), "backends", len(f.cfg.Known.Endpoints))
 	f.every(sweepEvery, func() {
@@ -103,6 +102,19 @@
 	f.loop(ctx, ln)
 }
 
+// Reload moves to other addresses of discovery and the counter, from any goroutine.
+func (f *Front) Reload(discovery, counter string) {
+	f.post(func() {
+		if discovery != f.discovery.addr {
+			f.discovery.follow(discovery)
+		}
+		if counter != f.counter.addr {
+			f.counter.move(counter)
+		}
+		f.log.Info("configuration read again", "discovery", discovery, "counter", counter)
+	})
+}
+
 // loop runs tasks, due timers and Steps until a shutdown is complete.
 func (f *Front) loop(ctx context.Context, ln net.Listener) {
 	alarm := time.NewTimer(0)
@@ -182,7 +194,7 @@
 	case snowhall.SetTimer:
 		f.timers.add(a.At, func() { f.tell(snowhall.Timer{Cookie: a.Cookie}) })
 	case snowhall.Watch, snowhall.Fetch:
-		go f.discovery.fetch()
+		go f.discovery.fetch(f.discovery.addr)
 	case snowhall.Log:
 		f.log.Info(a.Text)
 	}
