Let idle clients give way to new ones; bound what clients can hold

Ruled out: backends (few resets, ejections back within 0.5 s), descriptors (171 of 256), the counter (its calls went missing only when no requests came through). Near the cap the connection idle longest, for 2 s at least, is closed (clients.go makeRoom). Found in the same reading: commandWithin began anew with each read (client.go Read); error lines were lost to a reset (turnAway); memory of all clients was unbounded (budget.go); figures out of the settings' range reached the module (request.go parse); an open request's id was taken again (loop.go arrived). Each has a test.

--- /dev/null
+++ b/internal/front/client.go
@@ -0,0 +1,327 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+const (
+	mostPipelined = 256                     // commands of one connection that may wait for their answers
+	mostUnread    = 256 << 10               // bytes of answers left unread at which no further command is read ...
+	mostUnwritten = 1 << 20                 // ... and at which the client is given up
+	writeWithin   = 5 * time.Second         // a client that takes nothing for so long has gone
+	firstWithin   = 2500 * time.Millisecond // from connecting, for the first command
+	commandWithin = 2500 * time.Millisecond // from its first bytes, for any later one
+	askCost       = 1 << 10                 // bytes of a request beside its text
+	lingerWithin  = 1500 * time.Millisecond // for the rest of what was refused
+	lingerBytes   = 64 << 20
+	mostLingering = 16
+	badPause      = 50 * time.Millisecond // before the next command is read, from the second bad one in a row on
+	badMost       = 16                    // bad commands in a row at which the connection is closed
+)
+
+// slot keeps the place of a command's answer.
+type slot struct {
+	answer []byte
+	ready  bool
+	ask    *ask  // nil for what the front door answers by itself
+	cost   int64 // taken from the budget until it is answered
+}
+
+// client is one connection of a client.
+type client struct {
+	cs    *clients
+	nc    net.Conn
+	in    respReader
+	due   time.Time // of the command that is being read; zero: none has begun
+	timed bool      // a read deadline is set
+	bad   int       // commands in a row that could not be used
+
+	spoken atomic.Bool  // it has asked something
+	idle   atomic.Int64 // since when no request is open, on the loop's clock; 0: one is
+
+	mu      sync.Mutex
+	room    *sync.Cond // slots have become free, or the connection has ended
+	slots   []*slot    // in the order of the commands
+	out     []byte     // answers to be written
+	writing bool       // a goroutine writes
+	last    bool       // to be closed once all is answered
+	closed  bool
+}
+
+func newClient(cs *clients, nc net.Conn) *client {
+	c := &client{cs: cs, nc: nc, due: time.Now().Add(firstWithin)}
+	c.room = sync.NewCond(&c.mu)
+	c.in = respReader{from: c, memory: cs.memory}
+	c.idle.Store(int64(cs.f.now()))
+	return c
+}
+
+// read takes commands until the connection ends.
+func (c *client) read() {
+	defer c.end()
+	for {
+		m, err := c.in.next()
+		switch {
+		case errors.Is(err, errMalformed):
+			c.turnAway("-ERR Protocol error\r\n")
+			return
+		case errors.Is(err, errNoMemory):
+			c.turnAway("-ERR no memory for a command as long as this\r\n")
+			return
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.in.partial(): // else no line: it would cross a request
+			c.turnAway("-ERR the command has not come in time\r\n")
+			return
+		case err != nil:
+			return
+		}
+		c.due = time.Time{}
+		// At a shutdown a connection that is always busy would never come to its end: what is read from then on
+		// counts as crossing the close, and the client sends it elsewhere.
+		if c.leaving() {
+			c.closeAfterAnswers()
+			return
+		}
+		if !c.command(m) {
+			return
+		}
+	}
+}
+
+// Read reads from the socket for the respReader. A command has one deadline, however its bytes drip in, and so
+// has a new client's first.
+func (c *client) Read(b []byte) (int, error) {
+	if c.due.IsZero() && c.in.partial() {
+		c.due = time.Now().Add(commandWithin)
+	}
+	if !c.due.IsZero() {
+		c.nc.SetReadDeadline(c.due)
+		c.timed = true
+	} else if c.timed {
+		c.nc.SetReadDeadline(time.Time{})
+		c.timed = false
+	}
+	return c.nc.Read(b)
+}
+
+// command handles one command and says whether to go on.
+func (c *client) command(m redcon.RESP) bool {
+	args, ok := arguments(m)
+	if !ok {
+		c.turnAway("-ERR Protocol error: expected an array of bulk strings\r\n")
+		return false
+	}
+	c.spoken.Store(true)
+	name := strings.ToUpper(string(args[0]))
+	switch name {
+	case "PING":
+		if !c.cs.f.ready.Load() {
+			return c.reply("-LOADING no backend is known yet\r\n")
+		}
+		return c.reply("+PONG\r\n")
+	case "Q.ASK", "Q.DO":
+		a, err := c.cs.f.parse(name, args)
+		if err != nil {
+			return c.unusable("-ERR " + err.Error() + "\r\n")
+		}
+		c.bad = 0
+		a.conn = c
+		cost := int64(len(m.Raw)) + askCost
+		if !c.cs.memory.take(cost) {
+			return c.reply(string(busyAnswer(comeBack)))
+		}
+		if a.slot = c.take(a, cost); a.slot == nil {
+			return false
+		}
+		c.cs.f.post(func() { c.cs.f.arrived(a) })
+		return true
+	}
+	return c.unusable(fmt.Sprintf("-ERR unknown command '%.40s'\r\n", printable(args[0])))
+}
+
+// unusable answers a command that can't be used. The next one is read after a pause, as a client that sends the
+// same again and again would else take the core from the others.
+func (c *client) unusable(line string) bool {
+	if c.bad++; c.bad >= badMost {
+		c.turnAway(line)
+		return false
+	}
+	ok := c.reply(line)
+	if c.bad > 1 && ok {
+		time.Sleep(badPause)
+	}
+	return ok
+}
+
+func (c *client) reply(line string) bool {
+	s := c.take(nil, 0)
+	c.answer(s, []byte(line))
+	return s != nil
+}
+
+// take keeps a place for the next answer. It waits while too many are kept already, or the answers before are not
+// read; nil: the connection ended. What it costs has been taken from the budget.
+func (c *client) take(a *ask, cost int64) *slot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for (len(c.slots) >= mostPipelined || len(c.out) > mostUnread) && !c.closed {
+		c.room.Wait()
+	}
+	if c.closed {
+		c.cs.memory.give(cost)
+		return nil
+	}
+	s := &slot{ask: a, cost: cost}
+	c.slots = append(c.slots, s)
+	c.idle.Store(0)
+	return s
+}
+
+// answer fills a slot, once. What then stands at the head is written by a goroutine of its own: a slow client
+// must not hold up the caller.
+func (c *client) answer(s *slot, line []byte) {
+	if s == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.ready {
+		return
+	}
+	s.answer, s.ready, s.ask = line, true, nil
+	for len(c.slots) > 0 && c.slots[0].ready {
+		first := c.slots[0]
+		c.out = append(c.out, first.answer...)
+		c.cs.memory.force(int64(len(first.answer)) - first.cost)
+		c.slots[0] = nil
+		c.slots = c.slots[1:]
+		c.room.Broadcast()
+	}
+	if len(c.slots) == 0 {
+		c.idle.Store(int64(c.cs.f.now()))
+	}
+	if len(c.out) > mostUnwritten || len(c.out) > mostValue && c.cs.memory.over() {
+		c.close()
+	} else if len(c.out) > 0 && !c.writing && !c.closed {
+		c.writing = true
+		go c.write()
+	}
+}
+
+// write writes what is there.
+func (c *client) write() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.out) > 0 && !c.closed {
+		out := c.out
+		c.out = nil
+		c.room.Broadcast()
+		c.mu.Unlock()
+		c.nc.SetWriteDeadline(time.Now().Add(writeWithin))
+		_, err := c.nc.Write(out)
+		c.mu.Lock()
+		c.cs.memory.give(int64(len(out)))
+		if err != nil {
+			c.close()
+		}
+	}
+	c.writing = false
+	c.room.Broadcast()
+	c.closeIfIdle()
+}
+
+// turnAway answers what can't be read and ends the connection. Closing it while the client still sends would
+// throw the error line away, so what comes is read for a while.
+func (c *client) turnAway(line string) {
+	c.answer(c.take(nil, 0), []byte(line))
+	c.mu.Lock()
+	for (len(c.slots) > 0 || len(c.out) > 0 || c.writing) && !c.closed {
+		c.room.Wait()
+	}
+	closed := c.closed
+	c.mu.Unlock()
+	half, ok := c.nc.(interface{ CloseWrite() error })
+	if closed || !ok {
+		return
+	}
+	defer c.cs.lingering.Add(-1)
+	if c.cs.lingering.Add(1) > mostLingering || half.CloseWrite() != nil {
+		return
+	}
+	c.nc.SetReadDeadline(time.Now().Add(lingerWithin))
+	b := make([]byte, 32<<10)
+	for left := lingerBytes; left > 0; {
+		n, err := c.nc.Read(b)
+		if err != nil {
+			return
+		}
+		left -= n
+	}
+}
+
+// leaving says that the connection is to be closed after the answers that it owes.
+func (c *client) leaving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
+// closeAfterAnswers closes the connection once all that it was asked is answered.
+func (c *client) closeAfterAnswers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = true
+	c.closeIfIdle()
+	for !c.closed {
+		c.room.Wait()
+	}
+}
+
+// closeIfIdle closes a connection that is to go when nothing is owed on it. The caller holds mu.
+func (c *client) closeIfIdle() {
+	if c.last && len(c.slots) == 0 && len(c.out) == 0 && !c.writing {
+		c.close()
+	}
+}
+
+// close ends the connection. The caller holds mu.
+func (c *client) close() {
+	if !c.closed {
+		c.closed = true
+		c.nc.Close()
+		c.room.Broadcast()
+	}
+}
+
+// end tells the loop of the requests whose client has left.
+func (c *client) end() {
+	c.mu.Lock()
+	c.close()
+	var left []*ask // gathered under the lock, as the loop may be answering
+	for _, s := range c.slots {
+		if s.ask != nil {
+			left = append(left, s.ask)
+		}
+		c.cs.memory.give(s.cost)
+	}
+	c.cs.memory.give(int64(len(c.out)))
+	c.slots, c.out = nil, nil
+	c.mu.Unlock()
+	c.in.release()
+	c.cs.mu.Lock()
+	delete(c.cs.all, c)
+	c.cs.mu.Unlock()
+	c.cs.count.Add(-1)
+	f := c.cs.f
+	for _, a := range left {
+		f.post(func() { f.gone(a) })
+	}
+}
--- a/internal/front/clients_test.go
+++ b/internal/front/clients_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -67,7 +68,6 @@
 func TestBadInput(t *testing.T) {
 	ln := listen(t)
 	w := start(t, []string{ln.Addr().String()})
-	c := w.dial()
 	for _, bad := range [][]string{
 		{"Q.ASK"}, {"Q.ASK", customer, "1"}, {"Q.ASK", customer, "1", list, "body", "more"},
 		{"Q.ASK", "b4d65521", "1", list}, {"Q.ASK", "zzzzzzzzzzzzzzzz", "1", list}, {"Q.ASK", "ffffffffffffffff", "1", list},
@@ -82,12 +82,23 @@
 		{"Q.ASK", customer, "1", keyed}, {"Q.DO", customer, "1", list, "body"},
 		{"Q.DO", customer, "1", strings.Replace(keyed, "k=5c0f6e1a2b3d4c59,", "", 1), "body"},
 		{"GET", "x\r\ny"}, {""},
+		{"Q.ASK", customer, "1", strings.Replace(list, "units=1", "units=1.5", 1)},
+		{"Q.ASK", customer, "1", strings.Replace(list, "units=1", "units=+1", 1)},
+		{"Q.ASK", customer, "1", strings.Replace(list, "units=1", "units=0x1p0", 1)},
+		{"Q.ASK", customer, "1", strings.Replace(list, "units=1", "units=1e0", 1)},
+		{"Q.ASK", customer, "1", strings.Replace(list, "units=1", "units=0", 1)},
+		{"Q.ASK", customer, "1", strings.Replace(list, "spread=1", "spread=2", 1)},
+		{"Q.ASK", customer, "1", strings.Replace(list, "spread=1", "spread=+1", 1)},
+		{"Q.ASK", customer, "1", strings.Replace(list, "first=0", "first=1", 1)},
+		{"Q.ASK", customer, "1", strings.Replace(list, "d=20000", "d=90000000", 1)},
+		{"Q.ASK", customer, "1", list + ",units=1"}, {"Q.ASK", customer, "1", list + ",t=open"},
 	} {
+		c := w.dial()
 		c.command(bad...)
 		c.wantsPrefix("-ERR ")
+		c.command("PING") // the connection is kept
+		c.wants("+PONG")
 	}
-	c.command("PING") // the connection is kept
-	c.wants("+PONG")
 	for _, bad := range []string{"PING\r\n", "*1\r\n:1\r\n", "*1\r\n$-1\r\n", "*999999999\r\n", "*1\r\n$70000\r\n", "*x\r\n",
 		"*0\r\n", "*2\r\n$4\r\nPING\r\n*1\r\n$1\r\nx\r\n", "*1\r\n$4\r\nPINGxx"} {
 		c := w.dial()
@@ -166,4 +177,105 @@
 	}
 }
 
+// A client that says nothing, or drips a command, must not hold a connection: one deadline holds for all of it.
+func TestSlowCommandsEnd(t *testing.T) {
+	w := start(t, nil)
+	silent, dripping, later := w.dial(), w.dial(), w.dial()
+	later.command("PING")
+	later.wantsPrefix("-LOADING")
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(commandWithin / 20):
+				dripping.nc.Write([]byte(command("PING", strings.Repeat("x", 1000))[i : i+1]))
+				later.nc.Write([]byte(command("PING", strings.Repeat("x", 1000))[i : i+1]))
+			}
+		}
+	}()
+	silent.wantsEnd()
+	dripping.wantsPrefix("-ERR ")
+	later.wantsPrefix("-ERR ")
+}
+
+// A client that is turned away while it still sends must be able to read why.
+func TestErrorOutlivesWhatIsSent(t *testing.T) {
+	w := start(t, nil)
+	c := w.dial()
+	c.write("*2\r\n$4\r\nPING\r\n$60000000\r\n")
+	c.write(strings.Repeat("x", 8<<20))
+	c.wantsPrefix("-ERR ")
+	c.wantsEnd()
+}
+
+// The id of a request that is open belongs to that request: another one gets an error and not its value.
+func TestOpenIDIsRefused(t *testing.T) {
+	ln := listen(t)
+	w := start(t, []string{ln.Addr().String()})
+	c, other := w.dial(), w.dial()
+	c.command("Q.ASK", customer, "1", list)
+	b := accept(t, ln)
+	b.message()
+	other.command("Q.ASK", customer, "1", list)
+	other.wantsPrefix("-ERR ")
+	b.write("*1\r\n" + bulk("value"))
+	c.wants("value")
+	other.command("Q.ASK", customer, "1", list) // it is over, so the id is free
+	b.message()
+	b.write("*1\r\n" + bulk("again"))
+	other.wants("again")
+}
+
+// Connections that are kept for nothing give way to new clients, those that are idle longest first.
+func TestIdleClientsGiveWay(t *testing.T) {
+	w := start(t, nil, func(c *Config, t *testing.T) { c.Sockets = 8 }) // 4 of them for clients
+	var all []*peer
+	for range 4 {
+		c := w.dial()
+		c.command("PING")
+		c.wantsPrefix("-LOADING")
+		all = append(all, c)
+	}
+	refused := w.dial() // none is idle for long
+	refused.wantsPrefix("-BUSY")
+	w.f.clients.mu.Lock()
+	for c := range w.f.clients.all {
+		at := int64(idleAfter)
+		if c.nc.RemoteAddr().String() == all[2].nc.LocalAddr().String() {
+			at *= 2
+		}
+		c.idle.Add(-at) // as if it had been idle for so long
+	}
+	w.f.clients.mu.Unlock()
+	c := w.dial()
+	c.command("PING")
+	c.wantsPrefix("-LOADING")
+	all[2].wantsEnd()
+	all[1].command("PING")
+	all[1].wantsPrefix("-LOADING")
+}
+
+// All clients together can't make the front door hold more than its share of memory.
+func TestClientMemoryIsBounded(t *testing.T) {
+	w := start(t, nil, func(c *Config, t *testing.T) { c.MemoryMB = 1 })
+	body := strings.Repeat("b", mostValue)
+	var last *peer
+	for i := range 8 { // none of these requests ends soon, as no backend is known
+		last = w.dial()
+		last.command("Q.DO", customer, fmt.Sprint(i), keyed, body)
+		p := w.dial()
+		p.command("PING") // it is read meanwhile
+		p.wantsPrefix("-LOADING")
+	}
+	if m := last.message(); m[0] != strings.TrimSpace(string(busyAnswer(comeBack))) && !strings.HasPrefix(m[0], "-ERR no memory") {
+		t.Errorf("got %q", m)
+	}
+	if held := w.f.clients.memory.held.Load(); held > 1<<18 {
+		t.Errorf("%d bytes are held", held)
+	}
+}
+
 func bulk(s string) string { return command(s)[len("*1\r\n"):] }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -35,6 +35,7 @@
 	timers timers
 
 	requests  map[uint64]*request
+	open      map[string]bool // the clients' ids of requests without a final answer
 	lastID    uint64
 	clients   *clients
 	backends  *backends
@@ -60,7 +61,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	f := &Front{cfg: cfg, log: log, door: door, begun: time.Now(), tasks: make(chan func(), 1024),
-		done: make(chan struct{}), requests: map[uint64]*request{}}
+		done: make(chan struct{}), requests: map[uint64]*request{}, open: map[string]bool{}}
 	f.backends = newBackends(f)
 	f.counter = newCounter(f)
 	f.discovery = newDiscovery(f)
@@ -215,6 +216,12 @@
 		a.conn.answer(a.slot, busyAnswer(0))
 		return
 	}
+	id := string(a.args[2])
+	if f.open[id] { // not to be told what another request is answered
+		a.conn.answer(a.slot, []byte("-ERR the id is that of an open request\r\n"))
+		return
+	}
+	f.open[id] = true
 	f.lastID++
 	r := &request{id: f.lastID, ask: a, due: a.at + a.wait}
 	a.id = r.id
@@ -250,6 +257,7 @@
 // leave ends a request. Nothing may go out for it any more, so attempts still out are called off.
 func (f *Front) leave(r *request) {
 	r.ended = true
+	delete(f.open, string(r.ask.args[2]))
 	f.timers.stop(r.overdue)
 	for _, a := range r.attempts {
 		f.backends.cancel(a)
--- /dev/null
+++ b/internal/front/request.go
@@ -0,0 +1,173 @@
+package front
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"snowhall"
+)
+
+// lateAsk is how much longer than its class's time a client may say that it waits.
+const lateAsk = time.Second
+
+// ask is a client's request as its connection read it.
+type ask struct {
+	conn        *client
+	slot        *slot
+	id          uint64        // the loop's
+	at          time.Duration // when its last byte was read
+	wait        time.Duration // how long the client waits from then on
+	class, plan int
+	customer    string
+	units       float64
+	spread      int
+	retry       bool
+	args        [][]byte // the command as it came
+	list        int      // the argument that holds names and values
+	waitFrom    int      // where the figure of d stands in it ...
+	waitTo      int      // ... and ends
+}
+
+// arguments returns a copy of the bulk strings of a command.
+func arguments(m redcon.RESP) ([][]byte, bool) {
+	if m.Type != redcon.Array || m.Count < 1 {
+		return nil, false
+	}
+	raw := bytes.Clone(m.Data)
+	args := make([][]byte, 0, m.Count)
+	for range m.Count {
+		n, e := redcon.ReadNextRESP(raw)
+		if e.Type != redcon.Bulk || e.Data == nil {
+			return nil, false
+		}
+		args = append(args, e.Data)
+		raw = raw[n:]
+	}
+	return args, true
+}
+
+// printable makes what a client sent fit for an error line.
+func printable(b []byte) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r > '~' {
+			return '?'
+		}
+		return r
+	}, string(b))
+}
+
+// parse reads a request. What it can't read goes nowhere.
+func (f *Front) parse(name string, args [][]byte) (*ask, error) {
+	if len(args) != 4 && len(args) != 5 {
+		return nil, fmt.Errorf("wrong number of arguments for '%s'", name)
+	}
+	customer, err := strconv.ParseUint(string(args[1]), 16, 64)
+	if err != nil || len(args[1]) != 16 || customer >= 1<<33 {
+		return nil, errors.New("the customer is not 16 hex digits")
+	}
+	if len(args[2]) == 0 {
+		return nil, errors.New("the id is empty")
+	}
+	a := &ask{at: f.now(), args: args, list: 3, class: -1, plan: -1, customer: strings.ToLower(string(args[1]))}
+	key, first := false, false
+	seen := map[string]bool{}
+	for at, list := 0, args[3]; at <= len(list); {
+		item, _, _ := bytes.Cut(list[at:], []byte{','})
+		k, v, _ := strings.Cut(string(item), "=")
+		if seen[k] { // a backend may read the other one
+			return nil, fmt.Errorf("%s is given twice", printable([]byte(k)))
+		}
+		seen[k] = true
+		ok := true
+		switch k {
+		case "c":
+			a.class = index(f.cfg.Transport.Classes, v)
+			ok = a.class >= 0
+		case "t":
+			a.plan = index(f.cfg.Transport.Plans, v)
+			ok = a.plan >= 0
+		case "d":
+			ms, err := strconv.ParseUint(v, 10, 31)
+			ok = err == nil && ms > 0
+			a.wait = time.Duration(ms) * time.Millisecond
+			a.waitFrom, a.waitTo = at+2, at+len(item)
+		case "k":
+			ok = v != ""
+			key = true
+		case "r":
+			a.retry = v == "1"
+			ok = v == "1" || v == "0"
+		case "units":
+			a.units, ok = decimal(v)
+			ok = ok && a.units > 0 && a.units <= cmp.Or(f.cfg.Settings.MaxUnits, 1e9)
+		case "spread":
+			n, err := strconv.ParseUint(v, 10, 31)
+			ok = err == nil && n > 0 && int(n) <= f.cfg.Settings.Doors
+			a.spread = int(n)
+		case "first":
+			n, err := strconv.ParseUint(v, 10, 31)
+			ok = err == nil && int(n) < f.cfg.Settings.Doors
+			first = true
+		}
+		if !ok {
+			return nil, fmt.Errorf("ill-formed or unknown %s", printable([]byte(k)))
+		}
+		at += len(item) + 1
+	}
+	switch {
+	case a.class < 0, a.plan < 0, a.wait == 0, a.units == 0, a.spread == 0, !first:
+		return nil, errors.New("one of c, t, d, units, spread and first is missing")
+	}
+	// A request and its timers are kept for as long as the client says that it waits.
+	class := &f.cfg.Settings.Classes[a.class]
+	if class.GiveUp > 0 && a.wait > class.GiveUp+lateAsk {
+		return nil, errors.New("ill-formed or unknown d")
+	}
+	switch effect := class.Effect; {
+	case (effect == snowhall.Safe) != (name == "Q.ASK"):
+		return nil, fmt.Errorf("class not served by %s", name)
+	case effect == snowhall.Keyed && !key:
+		return nil, errors.New("k is missing")
+	}
+	return a, nil
+}
+
+// decimal reads a number in plain digits. What the standard library takes besides, such as signs, exponents and hex,
+// a backend may read otherwise.
+func decimal(s string) (float64, bool) {
+	if strings.Trim(s, "0123456789.") != "" {
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	return v, err == nil
+}
+
+func index(names []string, name string) int {
+	for i, n := range names {
+		if n == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// forward is the command for a backend: as it came but for d, which tells how long this front door will wait.
+func (a *ask) forward(wait time.Duration) []byte {
+	b := redcon.AppendArray(nil, len(a.args))
+	for i, arg := range a.args {
+		if i == a.list {
+			list := append([]byte(nil), arg[:a.waitFrom]...)
+			list = strconv.AppendInt(list, max(1, wait.Milliseconds()), 10)
+			arg = append(list, arg[a.waitTo:]...)
+		}
+		b = redcon.AppendBulk(b, arg)
+	}
+	return b
+}
--- a/internal/front/resp.go
+++ b/internal/front/resp.go
@@ -15,16 +15,21 @@
 	mostItems   = 64                // items of an array
 	mostHeader  = 32                // bytes of the line that gives a length
 	mostLine    = 4 << 10           // bytes of a line that is a value by itself
+	usualBuffer = 4 << 10           // bytes of a reader's buffer but for long messages
 )
 
-var errMalformed = errors.New("malformed RESP")
+var (
+	errMalformed = errors.New("malformed RESP")
+	errNoMemory  = errors.New("no memory left for a message")
+)
 
 // respReader reads whole RESP messages. Redcon's own reader takes any length that the other side names and
 // can't tell a message that is not yet complete from one that never will be, so frame goes first.
 type respReader struct {
-	from  io.Reader
-	buf   []byte
-	start int // of what is not yet used
+	from   io.Reader
+	memory *budget // for what goes beyond the usual buffer; nil: unbounded
+	buf    []byte
+	start  int // of what is not yet used
 }
 
 // next returns the next message. Its bytes are good until the next call.
@@ -45,12 +50,17 @@
 			r.start = 0
 		}
 		switch {
-		case len(r.buf) == 0 && cap(r.buf) != 4<<10:
-			r.buf = make([]byte, 0, 4<<10) // also gives back what a long message took
+		case len(r.buf) == 0 && cap(r.buf) != usualBuffer: // also gives back what a long message took
+			r.release()
+			r.buf = make([]byte, 0, usualBuffer)
 		case len(r.buf) >= mostMessage:
 			return redcon.RESP{}, errMalformed
 		case len(r.buf) == cap(r.buf):
-			r.buf = append(make([]byte, 0, min(2*cap(r.buf), mostMessage)), r.buf...)
+			size := min(2*cap(r.buf), mostMessage)
+			if r.memory != nil && !r.memory.take(int64(size-cap(r.buf))) {
+				return redcon.RESP{}, errNoMemory
+			}
+			r.buf = append(make([]byte, 0, size), r.buf...)
 		}
 		n, err := r.from.Read(r.buf[len(r.buf):cap(r.buf)])
 		r.buf = r.buf[:len(r.buf)+n]
@@ -60,6 +70,14 @@
 	}
 }
 
+// release gives the buffer back.
+func (r *respReader) release() {
+	if r.memory != nil && cap(r.buf) > usualBuffer {
+		r.memory.give(int64(cap(r.buf) - usualBuffer))
+	}
+	r.buf, r.start = nil, 0
+}
+
 // partial tells whether a message has begun and not ended.
 func (r *respReader) partial() bool { return r.start < len(r.buf) }
 
