Take spoilt answers for failed attempts; let unasked bytes spoil a connection

Connections busy at a change of address went back to the pool, and drop never forgot a gone backend. Commands are now written by the loop where the socket takes them at once (sock.go).

--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
+	"os"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -15,8 +16,9 @@
 )
 
 const (
-	backendShare = 0.35 // of the sockets that may be held, for connections to backends
-	idleShare    = 0.6  // of the time after which a backend closes an idle connection: closed here before
+	backendShare = 0.35                   // of the sockets that may be held, for connections to backends
+	idleShare    = 0.6                    // of the time after which a backend closes an idle connection: closed here before
+	stalledAfter = 250 * time.Millisecond // an answer that has begun and then stops for so long has a wrong length
 )
 
 // attempt is one try of a request at a backend.
@@ -35,6 +37,7 @@
 type backend struct {
 	name, addr string
 	started    time.Duration
+	era        int  // of its address and start
 	listed     bool // in service
 	conns      map[*conn]bool
 	idle       []*conn // the one used last at the end
@@ -51,9 +54,15 @@
 	attempt *attempt
 	probe   *probe
 	closed  bool
+	era     int // of the backend when it was dialled
 	idleAt  time.Duration
 	sent    atomic.Int32 // how far the command is that was last given to it
 	broken  atomic.Bool  // its reader has ended
+	spoilt  atomic.Bool  // ... since what came is no answer
+	asked   atomic.Int32 // commands given to it
+	in      *respReader  // the reader's
+	got     int32        // the reader's: answers read
+	timed   bool         // the reader's: a read deadline is set
 }
 
 // States of conn.sent.
@@ -94,7 +103,9 @@
 	}
 	if b.addr != addr || b.started != e.Started { // another process: no old connection leads to it
 		b.addr, b.started = addr, e.Started
+		b.era++ // what is busy is closed with its answer
 		bs.closeIdle(b, bs.f.now())
+		bs.dropDialled(b)
 	}
 	if b.listed = e.State == snowhall.InService; !b.listed {
 		bs.retire(b)
@@ -119,12 +130,17 @@
 // its connection would be written when that comes up, perhaps after the grace: it is taken back unsent.
 func (bs *backends) retire(b *backend) {
 	bs.closeIdle(b, bs.f.now())
+	bs.dropDialled(b)
+	bs.forget(b)
+}
+
+// dropDialled takes back what waits for a connection.
+func (bs *backends) dropDialled(b *backend) {
 	for c := range b.conns {
 		if c.nc == nil {
 			bs.drop(c, snowhall.Moot)
 		}
 	}
-	bs.forget(b)
 }
 
 func (bs *backends) forget(b *backend) {
@@ -187,6 +203,7 @@
 	if p != nil {
 		bs.probed(p, status)
 	}
+	bs.forget(c.b)
 }
 
 // send starts an attempt, on the warm connection used last if there is one: a new one costs the backend work.
@@ -226,10 +243,16 @@
 
 // take returns an idle connection or starts to dial one; nil where no socket is left.
 func (bs *backends) take(b *backend) *conn {
-	if n := len(b.idle); n > 0 {
+	for n := len(b.idle); n > 0; n = len(b.idle) {
 		c := b.idle[n-1]
 		b.idle[n-1] = nil
 		b.idle = b.idle[:n-1]
+		// What came since the last answer would be taken for the next one, and a connection that has ended would
+		// leave it open whether the command has run.
+		if c.broken.Load() || !quiet(c.nc) {
+			bs.close(c)
+			continue
+		}
 		c.sent.Store(unsent)
 		return c
 	}
@@ -237,7 +260,7 @@
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), bs.f.cfg.Transport.DialTimeout)
-	c := &conn{f: bs.f, b: b, dial: cancel}
+	c := &conn{f: bs.f, b: b, era: b.era, dial: cancel}
 	bs.count++
 	b.conns[c] = true
 	go c.run(ctx, b.addr)
@@ -309,10 +332,12 @@
 		c.nc = nc
 		c.start()
 	})
-	in := &respReader{from: nc}
+	c.in = &respReader{from: reader{c, nc}}
 	for {
-		m, err := in.next()
+		m, err := c.in.next()
 		if err != nil {
+			c.spoilt.Store(errors.Is(err, errMalformed) || errors.Is(err, errUnasked) ||
+				errors.Is(err, os.ErrDeadlineExceeded))
 			nc.Close()
 			if c.broken.Store(true); c.sent.Load() != sending { // else write posts it, knowing how far it got
 				c.f.post(c.ended)
@@ -320,11 +345,37 @@
 			return
 		}
 		r := readReply(m)
-		r.surplus = in.partial()
+		c.got++
+		r.surplus = c.in.partial()
 		c.f.post(func() { c.f.backends.answered(c, r) })
 	}
 }
 
+var errUnasked = errors.New("an answer to no command")
+
+// reader reads from a backend's socket for the respReader. It takes nothing while no answer is owed: that would be
+// found in front of the next answer. And an answer that has begun must go on.
+type reader struct {
+	c  *conn
+	nc net.Conn
+}
+
+func (r reader) Read(b []byte) (int, error) {
+	c := r.c
+	if c.in.partial() {
+		r.nc.SetReadDeadline(time.Now().Add(stalledAfter))
+		c.timed = true
+	} else if c.timed {
+		r.nc.SetReadDeadline(time.Time{})
+		c.timed = false
+	}
+	n, err := r.nc.Read(b)
+	if n > 0 && c.asked.Load() == c.got {
+		return 0, errUnasked
+	}
+	return n, err
+}
+
 // start writes what the connection carries, by a goroutine of its own: a backend that takes nothing must not
 // hold up the loop. The loop closes the connection when the time is up.
 func (c *conn) start() {
@@ -337,31 +388,45 @@
 	default:
 		return
 	}
+	c.asked.Add(1)
 	c.sent.Store(sending)
+	n, err := writeNow(c.nc, b)
+	if n == len(b) || err != nil {
+		c.wrote(err)
+		return
+	}
 	nc := c.nc
 	go func() {
-		if _, err := nc.Write(b); err != nil {
-			c.sent.Store(cut)
-			nc.Close()
-		} else {
-			c.sent.Store(whole)
-		}
-		if c.broken.Load() {
-			c.f.post(c.ended)
-		}
+		_, err := nc.Write(b[n:])
+		c.wrote(err)
 	}()
 }
 
-// ended takes the end of a connection. If it broke before the last byte was written, the command never ran.
+// wrote notes how the writing of a command ended.
+func (c *conn) wrote(err error) {
+	if err != nil {
+		c.sent.Store(cut)
+		c.nc.Close() // so its reader ends, if it has not
+	} else {
+		c.sent.Store(whole)
+	}
+	if c.broken.Load() {
+		go c.f.post(c.ended)
+	}
+}
+
+// ended takes the end of a connection. If it broke before the last byte was written, the command never ran; if what
+// came is no answer, it has run, and the backend lives.
 func (c *conn) ended() {
 	bs := c.f.backends
 	c.b.notIdle(c)
 	status := snowhall.Reset
-	if c.sent.Load() != whole {
+	if c.spoilt.Load() {
+		status = snowhall.Failed
+	} else if c.sent.Load() != whole {
 		status = snowhall.ConnectFailed
 	}
 	bs.drop(c, status)
-	bs.forget(c.b)
 }
 
 // answered takes an answer. A connection on which more came than was asked for is not used again.
@@ -379,7 +444,8 @@
 	}
 	now := bs.f.now()
 	c.b.heard = now
-	if a == nil && p == nil || r.surplus || r.odd && p == nil || c.sent.Load() != whole || !c.b.listed {
+	if a == nil && p == nil || r.surplus || r.odd && (p == nil || !r.pong) || c.sent.Load() != whole || !c.b.listed ||
+		c.era != c.b.era {
 		c.b.notIdle(c)
 		bs.close(c)
 		bs.forget(c.b)
@@ -404,7 +470,8 @@
 	status  snowhall.Status
 	value   []byte // the value as a bulk string, to be passed on
 	used    int    // 1 + percent of the quota used; 0: not told
-	odd     bool   // it is no answer to a command
+	odd     bool   // it is no answer to a command ...
+	pong    bool   // ... but one to a probe
 	surplus bool   // more bytes came with it
 }
 
@@ -414,8 +481,12 @@
 	switch m.Type {
 	case redcon.Error:
 		r := reply{status: snowhall.Failed}
-		if word, _, _ := bytes.Cut(m.Data, []byte{' '}); string(word) == "BUSY" {
+		switch word, _, _ := bytes.Cut(m.Data, []byte{' '}); string(word) {
+		case "BUSY":
 			r.status = snowhall.Full
+		case "ERR":
+		default:
+			r.odd = true
 		}
 		for word := range bytes.SplitSeq(m.Data, []byte{' '}) {
 			if n := used(word); n > 0 {
@@ -424,7 +495,7 @@
 		}
 		return r
 	case redcon.String: // to a probe
-		return reply{status: snowhall.OK, odd: true}
+		return reply{status: snowhall.OK, odd: true, pong: true}
 	case redcon.Array:
 		r := reply{status: snowhall.Failed, odd: true}
 		i := 0
@@ -446,7 +517,7 @@
 func used(list []byte) int {
 	for item := range bytes.SplitSeq(list, []byte{','}) {
 		if v, ok := bytes.CutPrefix(item, []byte("used=")); ok {
-			if n, err := strconv.ParseFloat(string(v), 64); err == nil && n >= 0 && n < 1e6 {
+			if n, ok := decimal(string(v)); ok && n < 1e6 {
 				return int(n) + 1
 			}
 		}
--- a/internal/front/backends_test.go
+++ b/internal/front/backends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -17,8 +18,9 @@
 		"-ERR failed\r\n":                                    {status: snowhall.Failed},
 		"-ERR failed used=0 inflight=7\r\n":                  {status: snowhall.Failed, used: 1},
 		"-BUSY cost=1,used=120\r\n":                          {status: snowhall.Full, used: 121},
+		"-ER\x00 x used=3\r\n":                               {status: snowhall.Failed, odd: true, used: 4},
 		"-BUSY\r\n":                                          {status: snowhall.Full},
-		"+PONG\r\n":                                          {status: snowhall.OK, odd: true},
+		"+PONG\r\n":                                          {status: snowhall.OK, odd: true, pong: true},
 		"*1\r\n$-1\r\n":                                      {status: snowhall.Failed, odd: true},
 		"*0\r\n":                                             {status: snowhall.Failed, odd: true},
 		"$2\r\nhi\r\n":                                       {status: snowhall.Failed, odd: true},
@@ -162,6 +164,10 @@
 		"timeout": {snowhall.Timeout, func(f *Front, a *attempt, b *peer) { f.timers.run(a.until) }},
 		"reset":   {snowhall.Reset, func(f *Front, a *attempt, b *peer) { b.nc.Close() }},
 		"gone":    {snowhall.Cancelled, func(f *Front, a *attempt, b *peer) { f.gone(a.r.ask) }},
+		"noise":   {snowhall.Failed, func(f *Front, a *attempt, b *peer) { b.write("\x00\x01\x02\r\n") }},
+		"length":  {snowhall.Failed, func(f *Front, a *attempt, b *peer) { b.write("*1\r\n$3000000000\r\nx") }},
+		"short":   {snowhall.Failed, func(f *Front, a *attempt, b *peer) { b.write("*1\r\n$20\r\nx\r\n") }}, // and no more
+		"line":    {snowhall.Failed, func(f *Front, a *attempt, b *peer) { b.write("-OOPS\r\n") }},
 		"full":    {snowhall.Full, func(f *Front, a *attempt, b *peer) { b.write("-BUSY\r\n") }},
 		"served":  {snowhall.OK, func(f *Front, a *attempt, b *peer) { b.write("*1\r\n$1\r\nx\r\n") }},
 	}
@@ -290,6 +296,88 @@
 	}
 }
 
+// inUse makes an attempt on the one connection to a backend and waits until it has come there.
+func inUse(t *testing.T, f *Front, ln net.Listener) (*attempt, *peer) {
+	t.Helper()
+	a := try(t, f)
+	p := accept(t, ln)
+	pump(t, f, func() bool { return a.conn.sent.Load() == whole })
+	p.message()
+	return a, p
+}
+
+// What comes on a connection while nothing is asked must not stand before the next answer, nor a whole second
+// copy be taken for it: the connection is not used again, whether its reader has seen it or not.
+func TestLateSurplusSpoilsTheConnection(t *testing.T) {
+	for _, surplus := range []string{"*1\r\n$5\r\nstray\r\n", "*1\r\n$5\r\nst", "x"} {
+		ln := listen(t)
+		f := idle(t, ln.Addr().String())
+		a, p := inUse(t, f, ln)
+		p.write("*1\r\n$1\r\nx\r\n")
+		pump(t, f, func() bool { return a.ended })
+		c := f.backends.all["s-0"].idle[0]
+		p.write(surplus)
+		pump(t, f, func() bool { return c.closed })
+		p.wantsEnd()
+		if !c.spoilt.Load() || len(f.backends.all["s-0"].idle) != 0 {
+			t.Errorf("%q: the connection is kept", surplus)
+		}
+	}
+}
+
+// Before an idle connection is used the socket itself is asked, as its reader may not have run since.
+func TestQuiet(t *testing.T) {
+	ln := listen(t)
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	p := accept(t, ln)
+	if !quiet(nc) {
+		t.Error("nothing has come, and it is not quiet")
+	}
+	p.write("x")
+	for end := time.Now().Add(patient); quiet(nc); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("what has come is not seen")
+		}
+	}
+}
+
+// A connection that was busy when its backend moved leads to the old process: it ends with its answer.
+func TestBusyConnectionOfAnOldAddressIsNotKept(t *testing.T) {
+	ln, next := listen(t), listen(t)
+	f := idle(t, ln.Addr().String())
+	a, p := inUse(t, f, ln)
+	f.take(members(2, next.Addr().String()), snowhall.Whole)
+	p.write("*1\r\n$1\r\nx\r\n")
+	pump(t, f, func() bool { return a.ended })
+	wantOutcome(t, f, snowhall.OK)
+	p.wantsEnd()
+	f.events = nil
+	a = try(t, f)
+	dialling := a.conn
+	f.take(members(3, ln.Addr().String()), snowhall.Whole) // it moves while it is being dialled
+	wantOutcome(t, f, snowhall.Moot)
+	if !dialling.closed {
+		t.Error("the dial to the old address goes on")
+	}
+}
+
+// A backend that is gone must be forgotten with its last attempt, however that ends.
+func TestGoneBackendIsForgotten(t *testing.T) {
+	ln := listen(t)
+	f := idle(t, ln.Addr().String())
+	a, _ := inUse(t, f, ln)
+	f.take(members(2), snowhall.Whole)
+	f.timers.run(a.until)
+	wantOutcome(t, f, snowhall.Timeout)
+	if len(f.backends.all) != 0 || f.backends.count != 0 {
+		t.Errorf("%d backends and %d connections are kept", len(f.backends.all), f.backends.count)
+	}
+}
+
 // Probes end once, whatever comes back.
 func TestProbe(t *testing.T) {
 	ln := listen(t)
