Leave a server out after three broken connections in a row, not two

Of the resets 180 came at once on connections idle for 100 ms or more: what is idle for longer than one that broke is now closed with it (backends.go ended). Ruled out by a probe in the log: idle times near the configured 30 s, broken writes (3 of 608).

--- a/door.go
+++ b/door.go
@@ -68,6 +68,7 @@
 	aheadLeast  = 2.0                     // requests in a lease's life from which the next lease is asked ahead
 	tick        = 20 * time.Millisecond   // pace of the checks that no event brings
 	stalled     = 5 * tick                // a check that comes so late says that this door stood still
+	failsMost   = 3                       // broken connections in a row at which a server is left out
 	quietSum    = 12.0                    // waits of all attempts out, in latencies, that mean silence ...
 	quietLeast  = 200 * time.Millisecond  // and no silence is shorter than this
 	quietEach   = 5.0                     // ... one attempt adding no more (it may be a costly one)
@@ -622,9 +623,10 @@
 	}
 	switch ev.Status {
 	case Reset, ConnectFailed:
-		s.fails++
-		s.slots *= fullBy
-		if s.fails >= 2 && !s.ejected {
+		if s.fails++; s.fails > 1 { // one broken connection says nothing of its server
+			s.slots *= fullBy
+		}
+		if s.fails >= failsMost && !s.ejected {
 			d.eject(s)
 		}
 	case Timeout:
--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -420,6 +420,9 @@
 func (c *conn) ended() {
 	bs := c.f.backends
 	c.b.notIdle(c)
+	if c.attempt != nil && c.asked.Load() > 1 {
+		bs.closeIdle(c.b, c.idleAt) // what has been idle for longer is no better
+	}
 	status := snowhall.Reset
 	if c.spoilt.Load() {
 		status = snowhall.Failed
