Test what leaves a server out; free emptied queues

A server's queue kept the empty places of ended requests until somebody picked from it (state.go unqueue); now they go with the last one.

--- a/door_test.go
+++ b/door_test.go
@@ -362,6 +362,44 @@
 	}
 }
 
+// A broken connection now and then, from any server alike, must not leave servers out: each time their queues and
+// attempts would be moved. Several in a row must, and an answer between them counts.
+func TestBrokenConnections(t *testing.T) {
+	set := basic()
+	set.MaxAttempts, set.Counter = 1, false
+	d := open(t, set, backends(1)...)
+	s := d.servers["b0"]
+	for i, status := range []Status{Reset, Reset, OK, ConnectFailed, Reset, ConnectFailed} {
+		now := time.Duration(i) * 100 * ms
+		sends := only[Send](d.Step(now, []Event{ask(uint64(i+1), 0, 2)}))
+		if len(sends) != 1 || s.ejected {
+			t.Fatalf("before outcome %d: sent %v, left out %v", i, sends, s.ejected)
+		}
+		d.Step(now+10*ms, []Event{Outcome{ID: sends[0].ID, Backend: "b0", Status: status, Latency: 10 * ms, Closed: status == OK}})
+	}
+	if !s.ejected {
+		t.Error("three in a row, and it is still used")
+	}
+}
+
+// What was queued and has ended must leave nothing behind at a server from which nobody picks.
+func TestQueuesLeaveNothingBehind(t *testing.T) {
+	d := open(t, basic(), backends(1)...)
+	s := d.servers["b0"]
+	var all []*request
+	for i := range 3 {
+		r := &request{id: uint64(i), level: 2}
+		d.push(r, s)
+		all = append(all, r)
+	}
+	for _, r := range all {
+		d.unqueue(r)
+	}
+	if len(s.queue[2]) != 0 || s.queued != 0 || d.queued != 0 {
+		t.Errorf("%d places are kept, %d and %d counted", len(s.queue[2]), s.queued, d.queued)
+	}
+}
+
 func TestOddEvents(t *testing.T) {
 	d := open(t, basic())
 	if acts := d.Step(ms, []Event{ask(1, 0, 2), Outcome{ID: 9}, Outcome{ID: 1, Attempt: 3}, Gone{77}, Timer{55}, Timer{2},
--- a/state.go
+++ b/state.go
@@ -189,7 +189,9 @@
 		return
 	}
 	r.spot.r = nil
-	r.on.count[r.level]--
+	if r.on.count[r.level]--; r.on.count[r.level] == 0 {
+		r.on.queue[r.level] = nil // only empty places are left, and nobody may come to pick here
+	}
 	r.on.queued--
 	d.queued--
 	r.spot, r.on = nil, nil
