Give clients more of the descriptors, and newcomers a place when all are taken

With no place left what has been idle for 250 ms now gives way (makeRoom); near the cap 2 s still hold.

--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	backendShare = 0.35                   // of the sockets that may be held, for connections to backends
+	backendShare = 0.28                   // of the sockets that may be held, for connections to backends
 	idleShare    = 0.6                    // of the time after which a backend closes an idle connection: closed here before
 	stalledAfter = 250 * time.Millisecond // an answer that has begun and then stops for so long has a wrong length
 )
--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	clientShare = 0.55                   // of the sockets that may be held, for clients
+	clientShare = 0.62                   // of the sockets that may be held, for clients
 	nearCap     = 0.9                    // of those: from here on idle connections are closed
 	idleAfter   = 2 * time.Second        // a connection with no open request may be closed after this ...
 	silentAfter = 500 * time.Millisecond // ... and, where there is no such, one on which nothing was ever asked
+	crowdAfter  = 250 * time.Millisecond // with no place left at all, any one after this: the newcomer has a request
 	comeBack    = 100 * time.Millisecond // what a client is told for which there is no room
 	memoryShare = 0.25                   // of the memory limit, for what clients have sent and not yet read
 )
@@ -54,7 +55,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if n := cs.count.Load(); float64(n) >= nearCap*float64(cs.most) && !cs.makeRoom() && n >= cs.most {
+		if n := cs.count.Load(); float64(n) >= nearCap*float64(cs.most) && !cs.makeRoom(n >= cs.most) && n >= cs.most {
 			nc.SetWriteDeadline(time.Now().Add(time.Second))
 			nc.Write(busyAnswer(comeBack)) // nothing was read, so nothing has run
 			nc.Close()
@@ -71,7 +72,7 @@
 
 // makeRoom closes the connection that has stood idle longest, if that may be. Clients that ask once, or never, and
 // keep their connections would else fill the share, and the usual ones be turned away.
-func (cs *clients) makeRoom() bool {
+func (cs *clients) makeRoom(full bool) bool {
 	now := cs.f.now()
 	var best *client
 	var since time.Duration
@@ -81,11 +82,14 @@
 		if at == 0 {
 			continue
 		}
-		if now-at < idleAfter {
-			if c.spoken.Load() || now-at < silentAfter {
-				continue
-			}
+		switch idle := now - at; {
+		case idle >= idleAfter:
+		case idle >= silentAfter && !c.spoken.Load():
 			at += idleAfter // after those that have been idle for long
+		case full && idle >= crowdAfter:
+			at += 2 * idleAfter // and last those that may be asked again soon
+		default:
+			continue
 		}
 		if best == nil || at < since {
 			best, since = c, at
--- a/internal/front/clients_test.go
+++ b/internal/front/clients_test.go
@@ -239,21 +239,30 @@
 		c.wantsPrefix("-LOADING")
 		all = append(all, c)
 	}
-	refused := w.dial() // none is idle for long
-	refused.wantsPrefix("-BUSY")
-	w.f.clients.mu.Lock()
-	for c := range w.f.clients.all {
-		at := int64(idleAfter)
-		if c.nc.RemoteAddr().String() == all[2].nc.LocalAddr().String() {
-			at *= 2
+	// since sets for how long a client's connection has been idle; below 0 it is never long enough.
+	since := func(ages map[int]time.Duration) {
+		w.f.clients.mu.Lock()
+		defer w.f.clients.mu.Unlock()
+		for c := range w.f.clients.all {
+			for i, age := range ages {
+				if c.nc.RemoteAddr().String() == all[i].nc.LocalAddr().String() {
+					c.idle.Store(int64(w.f.now() - age))
+				}
+			}
 		}
-		c.idle.Add(-at) // as if it had been idle for so long
 	}
-	w.f.clients.mu.Unlock()
+	since(map[int]time.Duration{0: -time.Hour, 1: -time.Hour, 2: -time.Hour, 3: -time.Hour})
+	refused := w.dial()
+	refused.wantsPrefix("-BUSY")
+	since(map[int]time.Duration{1: idleAfter, 2: 2 * idleAfter})
 	c := w.dial()
 	c.command("PING")
 	c.wantsPrefix("-LOADING")
 	all[2].wantsEnd()
+	all[2] = c
+	since(map[int]time.Duration{0: crowdAfter, 1: -time.Hour, 2: -time.Hour})
+	w.dial().command("PING") // with no place left the threshold is lower
+	all[0].wantsEnd()
 	all[1].command("PING")
 	all[1].wantsPrefix("-LOADING")
 }
