--- a/cmd/gapgap/main.go
+++ b/cmd/gapgap/main.go
@@ -12,7 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"snowhall/internal/front"
+	"snowhall/internal/service"
 )
 
 // gcPercent is how much garbage may gather for each live byte. The heap has few MB, so collections would else come
@@ -44,7 +44,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("name", cfg.Name)
-	f, err := front.New(cfg, log)
+	f, err := service.NewPlatform(cfg, log)
 	if err != nil {
 		return err
 	}
@@ -55,13 +55,13 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	go reload(hup, ended, f, log)
-	f.Run(ctx, ln)
+	f.Serve(ctx, ln)
 	return nil
 }
 
 // reload reads the file again at each signal. The file now goes before the environment, which tells what held at
 // the start; only the addresses of discovery and the counter change.
-func reload(hup <-chan os.Signal, ended <-chan struct{}, f *front.Front, log *slog.Logger) {
+func reload(hup <-chan os.Signal, ended <-chan struct{}, f *service.Platform, log *slog.Logger) {
 	for {
 		select {
 		case <-hup:
@@ -81,7 +81,7 @@
 }
 
 // readConfig reads the configuration; the other variables go before what the file says.
-func readConfig() (*front.Config, error) {
+func readConfig() (*service.Config, error) {
 	cfg, err := readFile()
 	if err != nil {
 		return nil, err
@@ -96,11 +96,11 @@
 }
 
 // readFile reads the file that NODE_CONFIG names.
-func readFile() (*front.Config, error) {
+func readFile() (*service.Config, error) {
 	file, err := os.Open(os.Getenv("NODE_CONFIG"))
 	if err != nil {
 		return nil, fmt.Errorf("NODE_CONFIG: %w", err)
 	}
 	defer file.Close()
-	return front.ReadConfig(file)
+	return service.ReadConfig(file)
 }
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,254 @@
+// Package core carries events from fronts and sides to one snowhall.Door and the Door's actions back. It decides
+// nothing itself. One loop goroutine alone owns the Door, the requests, the attempts and the timers; fronts and
+// sides read, write and dial on goroutines of their own and post tasks.
+//
+// Fronts hand requests in by [Core.Submit] and get one final answer each; they know no backend and no quota. The
+// sides are behind the interfaces [Upstream], [Counter] and [Membership].
+package core
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"snowhall"
+	"snowhall/internal/budget"
+	"snowhall/internal/loop"
+	"snowhall/internal/membership"
+	"snowhall/internal/upstream"
+)
+
+const (
+	acceptAfterTerm = 500 * time.Millisecond // new connections are still taken this long after SIGTERM
+	answerMargin    = 100 * time.Millisecond // beyond the longest deadline, for the last answers on their way
+	sweepEvery      = time.Second
+)
+
+// Upstream carries attempts and probes to backends.
+type Upstream interface {
+	Send(*upstream.Attempt)   // ends as one outcome at the attempt's owner
+	Cancel(*upstream.Attempt) // one that has ended is passed over
+	Probe(backend string)
+	Listed(b snowhall.Backend, addr string)
+	KeepOnly([]membership.Entry)
+	Sweep() // called about once a second
+	Close()
+}
+
+// Counter adds to numbers that all front doors share. Each Add is answered once.
+type Counter interface {
+	Add(snowhall.Count)
+	Move(addr string)
+	Addr() string
+	Sweep()
+	Close()
+}
+
+// Membership tells of the list of backends.
+type Membership interface {
+	Known() // the list as last had
+	Follow(addr string)
+	Addr() string
+	Fetch()
+	Stop()
+}
+
+// Front takes requests from clients by one protocol.
+type Front interface {
+	Serve()          // begins to take connections; returns at once
+	CloseListeners() // no further connection is taken; may be called again
+	Drain() bool     // closes what stands between two requests; says whether nothing is left
+}
+
+// Config is what a Core is made of beside its sides.
+type Config struct {
+	Settings snowhall.Settings
+	Seed     uint64
+	MostOpen int           // requests that may be open at once; 0: no bound
+	Memory   *budget.Bytes // what clients of all fronts may make the process hold
+	Conns    *budget.Conns // the clients' connections of all fronts
+}
+
+// Core is one front door.
+type Core struct {
+	Config
+	*loop.Loop
+	log    *slog.Logger
+	door   *snowhall.Door
+	events []snowhall.Event // for the next Step
+	ready  atomic.Bool      // a backend in service has been known, so requests can be served
+
+	requests   map[uint64]*Request
+	open       map[string]bool // the clients' ids of requests without a final answer
+	lastID     uint64
+	upstream   Upstream
+	counter    Counter
+	membership Membership
+}
+
+// New makes a core on a loop. It needs Connect before Run.
+func New(l *loop.Loop, cfg Config, log *slog.Logger) (*Core, error) {
+	door, err := snowhall.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &Core{Config: cfg, Loop: l, log: log, door: door, requests: map[uint64]*Request{},
+		open: map[string]bool{}}, nil
+}
+
+// Connect gives the core its sides, which tell it what happens by Tell and Listed.
+func (c *Core) Connect(u Upstream, n Counter, m Membership) {
+	c.upstream, c.counter, c.membership = u, n, m
+}
+
+// Tell keeps an event for the next Step. Only the loop goroutine may call it.
+func (c *Core) Tell(ev snowhall.Event) { c.events = append(c.events, ev) }
+
+// Probed takes the result of a probe.
+func (c *Core) Probed(ev snowhall.Probed) { c.Tell(ev) }
+
+// Counted takes the answer of the counter.
+func (c *Core) Counted(ev snowhall.Counted) { c.Tell(ev) }
+
+// Listed takes news of the backends to the upstream and to the Door.
+func (c *Core) Listed(u membership.Update) {
+	list := snowhall.List{Scope: u.Scope}
+	for _, e := range u.Entries {
+		if e.State == snowhall.InService {
+			c.ready.Store(true)
+		}
+		c.upstream.Listed(e.Backend, e.Addr)
+		list.Entries = append(list.Entries, e.Backend)
+	}
+	if u.Scope == snowhall.Whole || u.Scope == snowhall.Cached {
+		c.upstream.KeepOnly(u.Entries)
+	}
+	c.Tell(list)
+}
+
+// Ready says whether a backend in service has been known. Any goroutine may call it.
+func (c *Core) Ready() bool { return c.ready.Load() }
+
+// Run serves by the fronts until the context ends, then answers what was taken and returns.
+func (c *Core) Run(ctx context.Context, fronts ...Front) {
+	defer c.Close()
+	defer c.upstream.Close()
+	defer c.counter.Close()
+	c.membership.Known()
+	c.Step() // from here on it is able to serve
+	c.membership.Follow(c.membership.Addr())
+	defer c.membership.Stop()
+	for _, f := range fronts {
+		f.Serve()
+		defer f.CloseListeners()
+	}
+	c.Every(sweepEvery, func() {
+		c.upstream.Sweep()
+		c.counter.Sweep()
+	})
+	c.loop(ctx, fronts)
+}
+
+// Reload moves to other addresses of discovery and the counter, from any goroutine.
+func (c *Core) Reload(discovery, counter string) {
+	c.Post(func() {
+		if discovery != c.membership.Addr() {
+			c.membership.Follow(discovery)
+		}
+		if counter != c.counter.Addr() {
+			c.counter.Move(counter)
+		}
+		c.log.Info("configuration read again", "discovery", discovery, "counter", counter)
+	})
+}
+
+// loop runs tasks, due timers and Steps until a shutdown is complete.
+func (c *Core) loop(ctx context.Context, fronts []Front) {
+	term := ctx.Done()
+	var finish, give time.Duration // on the loop's clock; 0: not shutting down
+	for {
+		limit := time.Hour
+		if finish > 0 {
+			limit = 10 * time.Millisecond
+		}
+		if c.Wait(limit, term) {
+			term = nil
+			c.log.Info("ending")
+			finish = c.Now() + acceptAfterTerm
+			give = finish + c.longest() + answerMargin
+		}
+		c.Step() // all that was there goes into one
+		if now := c.Now(); finish > 0 && now >= finish {
+			drained := true
+			for _, f := range fronts {
+				f.CloseListeners()
+			}
+			for _, f := range fronts {
+				drained = f.Drain() && drained
+			}
+			if drained || now >= give {
+				c.log.Info("ended", "unanswered", c.unanswered())
+				return
+			}
+		}
+	}
+}
+
+func (c *Core) unanswered() (n int) {
+	for _, r := range c.requests {
+		if !r.ended {
+			n++
+		}
+	}
+	return n
+}
+
+// longest is the longest time that a client waits.
+func (c *Core) longest() time.Duration {
+	most := time.Duration(0)
+	for _, cl := range c.Settings.Classes {
+		most = max(most, cl.GiveUp)
+	}
+	return most
+}
+
+// Step gives the Door what has happened and carries out what it wants, in order. An action may end at once and
+// so bring the next event.
+func (c *Core) Step() {
+	for len(c.events) > 0 {
+		events := c.events
+		c.events = nil
+		for _, a := range c.door.Step(c.Now(), events) {
+			c.act(a)
+		}
+	}
+}
+
+func (c *Core) act(a snowhall.Action) {
+	switch a := a.(type) {
+	case snowhall.Send:
+		if r := c.requests[a.ID]; r != nil {
+			c.send(r, a)
+		}
+	case snowhall.Cancel:
+		if r := c.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
+			c.upstream.Cancel(&r.attempts[a.Attempt].Attempt)
+		}
+	case snowhall.Refuse:
+		c.answer(c.requests[a.ID], Answer{Verdict: Refused, Pause: a.Pause})
+	case snowhall.Fail:
+		c.answer(c.requests[a.ID], Answer{Verdict: Failed})
+	case snowhall.Probe:
+		c.upstream.Probe(a.Backend)
+	case snowhall.Count:
+		c.counter.Add(a)
+	case snowhall.SetTimer:
+		c.At(a.At, func() { c.Tell(snowhall.Timer{Cookie: a.Cookie}) })
+	case snowhall.Watch, snowhall.Fetch:
+		c.membership.Fetch()
+	case snowhall.Log:
+		c.log.Info(a.Text)
+	}
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,113 @@
+package core
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"snowhall"
+	"snowhall/internal/loop"
+	"snowhall/internal/membership"
+	"snowhall/internal/upstream"
+)
+
+// sides stands in for all sides; the test says what they answer.
+type sides struct {
+	sent      []*upstream.Attempt
+	cancelled []*upstream.Attempt
+}
+
+func (s *sides) Send(a *upstream.Attempt)        { s.sent = append(s.sent, a) }
+func (s *sides) Cancel(a *upstream.Attempt)      { s.cancelled = append(s.cancelled, a) }
+func (s *sides) Probe(string)                    {}
+func (s *sides) Listed(snowhall.Backend, string) {}
+func (s *sides) KeepOnly([]membership.Entry)     {}
+func (s *sides) Sweep()                          {}
+func (s *sides) Close()                          {}
+func (s *sides) Add(snowhall.Count)              {}
+func (s *sides) Move(string)                     {}
+func (s *sides) Addr() string                    { return "" }
+func (s *sides) Known()                          {}
+func (s *sides) Follow(string)                   {}
+func (s *sides) Fetch()                          {}
+func (s *sides) Stop()                           {}
+
+// caller keeps its answers.
+type caller struct{ answers []Answer }
+
+func (c *caller) Forward(time.Duration) []byte { return nil }
+func (c *caller) Answer(a Answer)              { c.answers = append(c.answers, a) }
+
+func idle(t *testing.T) (*Core, *sides) {
+	t.Helper()
+	set := snowhall.Settings{Doors: 1, MaxAttempts: 2, Classes: []snowhall.Class{{Worth: 1, GiveUp: 30 * time.Second}},
+		Plans: []snowhall.Plan{{Factor: 1}}}
+	c, err := New(loop.New(), Config{Settings: set, MostOpen: 3}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &sides{}
+	c.Connect(s, s, s)
+	return c, s
+}
+
+func (c *Core) submitted(id string) (*Request, *caller) {
+	who := &caller{}
+	r := &Request{Caller: who, ID: id, Customer: "a", At: c.Now(), Wait: 10 * time.Second, Units: 1}
+	c.Submit(r)
+	return r, who
+}
+
+// The module never lets a request go unanswered; should it, the loop's own timer answers and calls off.
+func TestOverdueRequest(t *testing.T) {
+	c, s := idle(t)
+	r, who := c.submitted("1")
+	c.events = nil // the module never hears of it
+	c.send(r, snowhall.Send{ID: r.id, Backend: "s-0"})
+	c.RunDue(r.due)
+	if len(who.answers) != 1 || who.answers[0].Verdict != Overdue || len(s.cancelled) != 1 {
+		t.Fatalf("answers %v, %d attempts called off", who.answers, len(s.cancelled))
+	}
+	if _, ok := c.events[len(c.events)-1].(snowhall.Gone); !ok || !r.ended {
+		t.Errorf("events %+v", c.events)
+	}
+	s.sent[0].End(snowhall.Cancelled)
+	s.sent[0].End(snowhall.OK) // what comes later changes nothing
+	c.Gone(r)
+	if len(who.answers) != 1 || len(c.requests) != 0 || len(c.open) != 0 {
+		t.Errorf("%d answers; %d requests are kept", len(who.answers), len(c.requests))
+	}
+}
+
+// Two open requests never have the same id, and no more are open than may be.
+func TestSubmitIsBounded(t *testing.T) {
+	c, _ := idle(t)
+	first, _ := c.submitted("1")
+	if _, again := c.submitted("1"); len(again.answers) != 1 || again.answers[0].Verdict != Duplicate {
+		t.Errorf("an open id: %v", again.answers)
+	}
+	c.submitted("")
+	c.submitted("")
+	if _, over := c.submitted("2"); len(over.answers) != 1 || over.answers[0].Verdict != Refused {
+		t.Errorf("beyond the bound: %v", over.answers)
+	}
+	c.Gone(first)
+	if _, again := c.submitted("1"); len(again.answers) != 0 {
+		t.Errorf("the id is free again: %v", again.answers)
+	}
+}
+
+// Once a request has ended nothing goes out for it, whatever the module wants.
+func TestNothingIsSentAfterTheEnd(t *testing.T) {
+	c, s := idle(t)
+	r, who := c.submitted("1")
+	c.events = nil
+	c.send(r, snowhall.Send{ID: r.id, Backend: "s-0"})
+	c.send(r, snowhall.Send{ID: r.id, Backend: "s-1"}) // a second copy is not allowed
+	s.sent[0].Owner.Ended(upstream.Result{Status: snowhall.OK, Value: []byte("v")})
+	c.send(r, snowhall.Send{ID: r.id, Backend: "s-1"})
+	if len(s.sent) != 1 || len(who.answers) != 1 || who.answers[0].Verdict != Served {
+		t.Errorf("%d sent, answers %v", len(s.sent), who.answers)
+	}
+}
--- /dev/null
+++ b/internal/core/request.go
@@ -0,0 +1,156 @@
+package core
+
+import (
+	"time"
+
+	"snowhall"
+	"snowhall/internal/loop"
+	"snowhall/internal/upstream"
+)
+
+// Verdict is the kind of a final answer.
+type Verdict int
+
+const (
+	Served    Verdict = iota // with Answer.Value
+	Refused                  // trying again is harmless, after Answer.Pause
+	Failed                   // it may have had an effect
+	Overdue                  // no decision came in time; as Failed
+	Duplicate                // its id is that of another open request; nothing was done
+)
+
+// Answer is a request's final answer.
+type Answer struct {
+	Verdict Verdict
+	Value   []byte        // with Served: the value as a RESP2 bulk string
+	Pause   time.Duration // with Refused: how long to stay away; 0: no advice
+}
+
+// Caller is what a request came from. The loop goroutine calls it, so it must not wait.
+type Caller interface {
+	// Forward is the command for a backend, which tells it how long this front door will wait.
+	Forward(wait time.Duration) []byte
+	// Answer takes the one final answer.
+	Answer(Answer)
+}
+
+// Request is a client's request. A front fills the exported part in, checked, and hands it to Submit; from then on
+// the loop owns it.
+type Request struct {
+	Caller      Caller
+	ID          string // the client's; no two open requests may have the same; empty: not told apart
+	Class, Plan int    // as the module numbers them
+	Customer    string
+	At          time.Duration // when its last byte was read, on the loop's clock
+	Wait        time.Duration // how long the client waits from then on
+	Units       float64       // that it takes from the quota
+	Doors       int           // doors through which the customer's requests come; 0: all
+	Retry       bool          // a client's repeat, where clients mark it
+
+	id       uint64
+	due      time.Duration // when the client gives up
+	overdue  *loop.Timer
+	attempts []*attempt
+	out      int // attempts without an outcome
+	ended    bool
+}
+
+// attempt is one try of a request.
+type attempt struct {
+	upstream.Attempt
+	c  *Core
+	r  *Request
+	no int
+}
+
+// Command implements [upstream.Owner].
+func (a *attempt) Command(wait time.Duration) []byte { return a.r.Caller.Forward(wait) }
+
+// Ended implements [upstream.Owner]. A value ends the request, and the outcome says so.
+func (a *attempt) Ended(res upstream.Result) {
+	if res.Status == snowhall.OK {
+		a.c.answer(a.r, Answer{Verdict: Served, Value: res.Value})
+	}
+	a.r.out--
+	a.c.Tell(snowhall.Outcome{ID: a.r.id, Attempt: a.no, Backend: a.Backend, Status: res.Status,
+		Latency: a.c.Now() - a.At, Closed: a.r.ended, Used: res.Used})
+	a.c.forget(a.r)
+}
+
+// Submit takes a request in. Only the loop goroutine may call it.
+func (c *Core) Submit(r *Request) {
+	if c.MostOpen > 0 && len(c.requests) >= c.MostOpen {
+		r.Caller.Answer(Answer{Verdict: Refused})
+		return
+	}
+	if r.ID != "" {
+		if c.open[r.ID] { // not to be told what another request is answered
+			r.Caller.Answer(Answer{Verdict: Duplicate})
+			return
+		}
+		c.open[r.ID] = true
+	}
+	c.lastID++
+	r.id, r.due = c.lastID, r.At+r.Wait
+	c.requests[r.id] = r
+	// The module answers in time by its own timers. Should it not, the client still hears back in time.
+	r.overdue = c.At(r.due, func() {
+		c.log.Error("the module left a request unanswered", "id", r.id)
+		c.leave(r)
+		c.Tell(snowhall.Gone{ID: r.id})
+		r.Caller.Answer(Answer{Verdict: Overdue})
+	})
+	c.Tell(snowhall.Request{ID: r.id, Class: r.Class, Plan: r.Plan, Customer: r.Customer,
+		Left: max(0, r.due-c.Now()), Units: r.Units, Doors: r.Doors, Retry: r.Retry})
+}
+
+// Gone ends the request of a client that has left. Only the loop goroutine may call it.
+func (c *Core) Gone(r *Request) {
+	if c.requests[r.id] == r && !r.ended {
+		c.leave(r)
+		c.Tell(snowhall.Gone{ID: r.id})
+	}
+}
+
+// answer gives a request its final answer, once.
+func (c *Core) answer(r *Request, a Answer) {
+	if r == nil || r.ended {
+		return
+	}
+	c.leave(r)
+	r.Caller.Answer(a)
+}
+
+// leave ends a request. Nothing may go out for it any more, so attempts still out are called off.
+func (c *Core) leave(r *Request) {
+	r.ended = true
+	delete(c.open, r.ID)
+	r.overdue.Stop()
+	for _, a := range r.attempts {
+		c.upstream.Cancel(&a.Attempt)
+	}
+	c.forget(r)
+}
+
+func (c *Core) forget(r *Request) {
+	if r.ended && r.out == 0 {
+		delete(c.requests, r.id)
+	}
+}
+
+// send starts an attempt.
+func (c *Core) send(r *Request, s snowhall.Send) {
+	now := c.Now()
+	a := &attempt{c: c, r: r, no: len(r.attempts)}
+	a.Attempt = upstream.Attempt{Backend: s.Backend, At: now, Until: r.due, Owner: a}
+	if s.Timeout > 0 {
+		a.Until = min(a.Until, now+s.Timeout)
+	}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	if r.ended || a.Until <= now || r.out > 1 && !c.Settings.SecondCopies {
+		a.End(snowhall.Moot)
+		return
+	}
+	c.upstream.Send(&a.Attempt)
+}
--- a/internal/front/counter.go
+++ b/internal/counter/counter.go
@@ -1,4 +1,5 @@
-package front
+// Package counter calls the platform's quota counter, a service that adds to named numbers over lines of text.
+package counter
 
 import (
 	"bufio"
@@ -11,28 +12,40 @@
 	"time"
 
 	"snowhall"
+	"snowhall/internal/loop"
 )
 
 const (
-	counterConns   = 4               // a name always goes by the same one: answers for a name come in order
-	counterIdle    = 3 * time.Second // the counter closes an idle connection after 10 s or less
-	counterSilence = 2 * time.Second // a connection that owes answers for so long is given up
-	counterOwed    = 1024            // calls of one connection whose answers are still to come
-	counterLine    = 256             // bytes of an answer
-	counterMoved   = 2 * time.Second // at an old address answers are awaited no longer
+	conns       = 4               // a name always goes by the same one: answers for a name come in order
+	idleMost    = 3 * time.Second // the counter closes an idle connection after 10 s or less
+	silenceMost = 2 * time.Second // a connection that owes answers for so long is given up
+	owedMost    = 1024            // calls of one connection whose answers are still to come
+	lineMost    = 256             // bytes of an answer
+	movedMost   = 2 * time.Second // at an old address answers are awaited no longer
 )
 
-// counter calls the quota counter. The calls of one name go by one connection, one behind another.
-type counter struct {
-	f     *Front
+// Config says where the counter is.
+type Config struct {
+	Addr        string        // host:port
+	Enabled     bool          // else every call ends at once as ConnectFailed
+	Timeout     time.Duration // a call with no answer by then ends as Timeout
+	DialTimeout time.Duration
+}
+
+// Counter calls the quota counter. The calls of one name go by one connection, one behind another. The loop owns it.
+type Counter struct {
+	l     *loop.Loop
+	cfg   Config
+	sink  func(snowhall.Counted)
 	addr  string
-	lines [counterConns]*line
+	lines [conns]*line
 	open  map[uint64][]*call // not yet told of, by name in the order of the calls
 }
 
 // line is a place for a connection to the counter, and the calls that go by it. The loop owns it.
 type line struct {
-	f     *Front
+	c     *Counter
+	l     *loop.Loop
 	addr  string
 	nc    net.Conn // nil: none yet
 	dials bool
@@ -52,22 +65,34 @@
 	written bool // it may have reached the counter
 	ended   bool
 	result  snowhall.Counted // once it has ended
-	timeout *timer
+	timeout *loop.Timer
 }
 
-func newCounter(f *Front) *counter {
-	c := &counter{f: f, open: map[uint64][]*call{}}
-	c.move(f.cfg.Counter)
+// New makes a counter. The sink is told the one answer of each call, by the loop goroutine.
+func New(l *loop.Loop, cfg Config, sink func(snowhall.Counted)) *Counter {
+	c := &Counter{l: l, cfg: cfg, sink: sink, open: map[uint64][]*call{}}
+	c.Move(cfg.Addr)
 	return c
 }
 
-// move takes further calls, and those not yet written, to another address. What is owed by the old one may
+// Addr is where the calls go.
+func (c *Counter) Addr() string { return c.addr }
+
+// Close ends all connections.
+func (c *Counter) Close() {
+	for _, l := range c.lines {
+		l.left = true
+		l.close()
+	}
+}
+
+// Move takes further calls, and those not yet written, to another address. What is owed by the old one may
 // still come.
-func (c *counter) move(addr string) {
+func (c *Counter) Move(addr string) {
 	c.addr = addr
-	now := c.f.now()
+	now := c.l.Now()
 	for i, old := range c.lines {
-		l := &line{f: c.f, addr: addr, used: now, owed: now}
+		l := &line{c: c, l: c.l, addr: addr, used: now, owed: now}
 		c.lines[i] = l
 		if old == nil {
 			continue
@@ -84,7 +109,7 @@
 		if len(old.calls) == 0 {
 			old.close()
 		} else {
-			c.f.timers.add(now+counterMoved, func() { old.broke(old.epoch) })
+			c.l.At(now+movedMost, func() { old.broke(old.epoch) })
 		}
 		if len(l.calls) > 0 {
 			l.flush()
@@ -92,24 +117,24 @@
 	}
 }
 
-// add makes a call.
-func (c *counter) add(a snowhall.Count) {
-	l := c.lines[a.Name%counterConns]
+// Add makes a call.
+func (c *Counter) Add(a snowhall.Count) {
+	l := c.lines[a.Name%conns]
 	k := &call{name: a.Name, line: l}
 	c.open[k.name] = append(c.open[k.name], k)
-	if !c.f.cfg.Settings.Counter || len(l.calls) >= counterOwed {
+	if !c.cfg.Enabled || len(l.calls) >= owedMost {
 		l.end(k, snowhall.ConnectFailed, 0)
 		return
 	}
 	k.text = fmt.Appendf(nil, "add %d %s %d\r\n", a.Name, strconv.FormatFloat(a.Amount, 'f', -1, 64),
 		max(1, a.Keep.Milliseconds()))
-	now := c.f.now()
+	now := c.l.Now()
 	if len(l.calls) == 0 {
 		l.owed = now
 	}
 	l.calls = append(l.calls, k)
 	l.used = now
-	k.timeout = c.f.timers.add(now+c.f.cfg.Settings.CounterTimeout, func() { k.line.giveUp(k) })
+	k.timeout = c.l.At(now+c.cfg.Timeout, func() { k.line.giveUp(k) })
 	l.flush()
 }
 
@@ -137,11 +162,11 @@
 	}
 	k.ended = true
 	k.result = snowhall.Counted{Name: k.name, Status: status, Total: total}
-	l.f.timers.stop(k.timeout)
-	open := l.f.counter.open
+	k.timeout.Stop()
+	open := l.c.open
 	all := open[k.name]
 	for len(all) > 0 && all[0].ended {
-		l.f.tell(all[0].result)
+		l.c.sink(all[0].result)
 		all = all[1:]
 	}
 	if open[k.name] = all; len(all) == 0 {
@@ -177,8 +202,8 @@
 
 // dial connects. It gives up when the calls that wait for it have.
 func (l *line) dial(addr string) {
-	nc, err := net.DialTimeout("tcp", addr, l.f.cfg.Transport.DialTimeout)
-	l.f.post(func() {
+	nc, err := net.DialTimeout("tcp", addr, l.c.cfg.DialTimeout)
+	l.l.Post(func() {
 		l.dials = false
 		if l.left { // the calls have moved
 			if err == nil {
@@ -201,9 +226,9 @@
 // write writes calls until the channel is closed.
 func (l *line) write(nc net.Conn, wire <-chan []byte, epoch int) {
 	for b := range wire {
-		nc.SetWriteDeadline(time.Now().Add(counterSilence))
+		nc.SetWriteDeadline(time.Now().Add(silenceMost))
 		if _, err := nc.Write(b); err != nil {
-			l.f.post(func() { l.broke(epoch) })
+			l.l.Post(func() { l.broke(epoch) })
 			return
 		}
 	}
@@ -211,18 +236,18 @@
 
 // read reads answers until the connection ends or one makes no sense.
 func (l *line) read(nc net.Conn, epoch int) {
-	in := bufio.NewReaderSize(nc, counterLine)
+	in := bufio.NewReaderSize(nc, lineMost)
 	for {
 		text, err := in.ReadSlice('\n')
 		if err == nil {
 			var status snowhall.Status
 			var total float64
 			if status, total, err = readCount(text); err == nil {
-				l.f.post(func() { l.answered(epoch, status, total) })
+				l.l.Post(func() { l.answered(epoch, status, total) })
 			}
 		}
 		if err != nil {
-			l.f.post(func() { l.broke(epoch) })
+			l.l.Post(func() { l.broke(epoch) })
 			return
 		}
 	}
@@ -257,7 +282,7 @@
 	k := l.calls[0]
 	l.calls[0] = nil
 	l.calls = l.calls[1:]
-	l.used = l.f.now()
+	l.used = l.l.Now()
 	l.owed = l.used
 	l.end(k, status, total)
 	if l.left && len(l.calls) == 0 {
@@ -291,15 +316,15 @@
 	}
 }
 
-// sweep closes connections that are idle, before the counter does, and those that have fallen silent.
-func (c *counter) sweep() {
-	now := c.f.now()
+// Sweep closes connections that are idle, before the counter does, and those that have fallen silent.
+func (c *Counter) Sweep() {
+	now := c.l.Now()
 	for _, l := range c.lines {
 		switch {
 		case l.nc == nil:
-		case len(l.calls) == 0 && now-l.used >= counterIdle:
+		case len(l.calls) == 0 && now-l.used >= idleMost:
 			l.close()
-		case len(l.calls) > 0 && l.calls[0].written && now-l.owed >= counterSilence:
+		case len(l.calls) > 0 && l.calls[0].written && now-l.owed >= silenceMost:
 			l.broke(l.epoch)
 		}
 	}
--- a/internal/front/client.go
+++ b/internal/front/resp2/client.go
@@ -1,4 +1,4 @@
-package front
+package resp2
 
 import (
 	"errors"
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+
+	"snowhall/internal/resp"
+	"snowhall/internal/sock"
 )
 
 const (
@@ -38,9 +41,9 @@
 
 // client is one connection of a client.
 type client struct {
-	cs    *clients
+	fr    *Front
 	nc    net.Conn
-	in    respReader
+	in    resp.Reader
 	due   time.Time // of the command that is being read; zero: none has begun
 	timed bool      // a read deadline is set
 	bad   int       // commands in a row that could not be used
@@ -57,11 +60,11 @@
 	closed  bool
 }
 
-func newClient(cs *clients, nc net.Conn) *client {
-	c := &client{cs: cs, nc: nc, due: time.Now().Add(firstWithin)}
+func newClient(fr *Front, nc net.Conn) *client {
+	c := &client{fr: fr, nc: nc, due: time.Now().Add(firstWithin)}
 	c.room = sync.NewCond(&c.mu)
-	c.in = respReader{from: c, memory: cs.memory}
-	c.idle.Store(int64(cs.f.now()))
+	c.in = resp.Reader{From: c, Memory: fr.core.Memory}
+	c.idle.Store(int64(fr.core.Now()))
 	return c
 }
 
@@ -69,15 +72,15 @@
 func (c *client) read() {
 	defer c.end()
 	for {
-		m, err := c.in.next()
+		m, err := c.in.Next()
 		switch {
-		case errors.Is(err, errMalformed):
+		case errors.Is(err, resp.ErrMalformed):
 			c.turnAway("-ERR Protocol error\r\n")
 			return
-		case errors.Is(err, errNoMemory):
+		case errors.Is(err, resp.ErrNoMemory):
 			c.turnAway("-ERR no memory for a command as long as this\r\n")
 			return
-		case errors.Is(err, os.ErrDeadlineExceeded) && c.in.partial(): // else no line: it would cross a request
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.in.Partial(): // else no line: it would cross a request
 			c.turnAway("-ERR the command has not come in time\r\n")
 			return
 		case err != nil:
@@ -96,10 +99,10 @@
 	}
 }
 
-// Read reads from the socket for the respReader. A command has one deadline, however its bytes drip in, and so
+// Read reads from the socket for the resp.Reader. A command has one deadline, however its bytes drip in, and so
 // has a new client's first.
 func (c *client) Read(b []byte) (int, error) {
-	if c.due.IsZero() && c.in.partial() {
+	if c.due.IsZero() && c.in.Partial() {
 		c.due = time.Now().Add(commandWithin)
 	}
 	if !c.due.IsZero() {
@@ -123,25 +126,25 @@
 	name := strings.ToUpper(string(args[0]))
 	switch name {
 	case "PING":
-		if !c.cs.f.ready.Load() {
+		if !c.fr.core.Ready() {
 			return c.reply("-LOADING no backend is known yet\r\n")
 		}
 		return c.reply("+PONG\r\n")
 	case "Q.ASK", "Q.DO":
-		a, err := c.cs.f.parse(name, args)
+		a, err := c.fr.parse(name, args)
 		if err != nil {
 			return c.unusable("-ERR " + err.Error() + "\r\n")
 		}
 		c.bad = 0
 		a.conn = c
 		cost := int64(len(m.Raw)) + askCost
-		if !c.cs.memory.take(cost) {
+		if !c.fr.core.Memory.Take(cost) {
 			return c.reply(string(busyAnswer(comeBack)))
 		}
 		if a.slot = c.take(a, cost); a.slot == nil {
 			return false
 		}
-		c.cs.f.post(func() { c.cs.f.arrived(a) })
+		c.fr.core.Post(func() { c.fr.core.Submit(&a.Request) })
 		return true
 	}
 	return c.unusable(fmt.Sprintf("-ERR unknown command '%.40s'\r\n", printable(args[0])))
@@ -176,7 +179,7 @@
 		c.room.Wait()
 	}
 	if c.closed {
-		c.cs.memory.give(cost)
+		c.fr.core.Memory.Give(cost)
 		return nil
 	}
 	s := &slot{ask: a, cost: cost}
@@ -200,15 +203,15 @@
 	for len(c.slots) > 0 && c.slots[0].ready {
 		first := c.slots[0]
 		c.out = append(c.out, first.answer...)
-		c.cs.memory.force(int64(len(first.answer)) - first.cost)
+		c.fr.core.Memory.Force(int64(len(first.answer)) - first.cost)
 		c.slots[0] = nil
 		c.slots = c.slots[1:]
 		c.room.Broadcast()
 	}
 	if len(c.slots) == 0 {
-		c.idle.Store(int64(c.cs.f.now()))
+		c.idle.Store(int64(c.fr.core.Now()))
 	}
-	if len(c.out) > mostUnwritten || len(c.out) > mostValue && c.cs.memory.over() {
+	if len(c.out) > mostUnwritten || len(c.out) > resp.MostValue && c.fr.core.Memory.Over() {
 		c.close()
 	} else if len(c.out) > 0 && !c.writing && !c.closed {
 		c.writeSome()
@@ -217,8 +220,8 @@
 
 // writeSome writes what the socket takes at once. The caller holds mu.
 func (c *client) writeSome() {
-	n, err := writeNow(c.nc, c.out)
-	c.cs.memory.give(int64(n))
+	n, err := sock.WriteNow(c.nc, c.out)
+	c.fr.core.Memory.Give(int64(n))
 	if c.out = c.out[n:]; len(c.out) == 0 {
 		c.out = nil
 	}
@@ -245,7 +248,7 @@
 		c.nc.SetWriteDeadline(time.Now().Add(writeWithin))
 		_, err := c.nc.Write(out)
 		c.mu.Lock()
-		c.cs.memory.give(int64(len(out)))
+		c.fr.core.Memory.Give(int64(len(out)))
 		if err != nil {
 			c.close()
 		}
@@ -270,8 +273,8 @@
 	if closed || !ok {
 		return
 	}
-	defer c.cs.lingering.Add(-1)
-	if c.cs.lingering.Add(1) > mostLingering || half.CloseWrite() != nil {
+	defer c.fr.lingering.Add(-1)
+	if c.fr.lingering.Add(1) > mostLingering || half.CloseWrite() != nil {
 		return
 	}
 	c.nc.SetReadDeadline(time.Now().Add(lingerWithin))
@@ -285,6 +288,19 @@
 	}
 }
 
+// Idle implements [budget.Holder].
+func (c *client) Idle() (time.Duration, bool) {
+	return time.Duration(c.idle.Load()), c.spoken.Load()
+}
+
+// GiveWay implements [budget.Holder].
+func (c *client) GiveWay() {
+	c.mu.Lock()
+	c.last = true
+	c.closeIfIdle()
+	c.mu.Unlock()
+}
+
 // leaving says that the connection is to be closed after the answers that it owes.
 func (c *client) leaving() bool {
 	c.mu.Lock()
@@ -328,18 +344,14 @@
 		if s.ask != nil {
 			left = append(left, s.ask)
 		}
-		c.cs.memory.give(s.cost)
+		c.fr.core.Memory.Give(s.cost)
 	}
-	c.cs.memory.give(int64(len(c.out)))
+	c.fr.core.Memory.Give(int64(len(c.out)))
 	c.slots, c.out = nil, nil
 	c.mu.Unlock()
-	c.in.release()
-	c.cs.mu.Lock()
-	delete(c.cs.all, c)
-	c.cs.mu.Unlock()
-	c.cs.count.Add(-1)
-	f := c.cs.f
+	c.in.Release()
+	c.fr.core.Conns.Remove(c)
 	for _, a := range left {
-		f.post(func() { f.gone(a) })
+		c.fr.core.Post(func() { c.fr.core.Gone(&a.Request) })
 	}
 }
--- a/internal/front/request.go
+++ b/internal/front/resp2/request.go
@@ -1,4 +1,4 @@
-package front
+package resp2
 
 import (
 	"bytes"
@@ -13,6 +13,8 @@
 	"github.com/tidwall/redcon"
 
 	"snowhall"
+	"snowhall/internal/core"
+	"snowhall/internal/resp"
 )
 
 // lateAsk is how much longer than its class's time a client may say that it waits.
@@ -20,20 +22,13 @@
 
 // ask is a client's request as its connection read it.
 type ask struct {
-	conn        *client
-	slot        *slot
-	id          uint64        // the loop's
-	at          time.Duration // when its last byte was read
-	wait        time.Duration // how long the client waits from then on
-	class, plan int
-	customer    string
-	units       float64
-	spread      int
-	retry       bool
-	args        [][]byte // the command as it came
-	list        int      // the argument that holds names and values
-	waitFrom    int      // where the figure of d stands in it ...
-	waitTo      int      // ... and ends
+	core.Request
+	conn     *client
+	slot     *slot
+	args     [][]byte // the command as it came
+	list     int      // the argument that holds names and values
+	waitFrom int      // where the figure of d stands in it ...
+	waitTo   int      // ... and ends
 }
 
 // arguments returns a copy of the bulk strings of a command.
@@ -65,7 +60,7 @@
 }
 
 // parse reads a request. What it can't read goes nowhere.
-func (f *Front) parse(name string, args [][]byte) (*ask, error) {
+func (fr *Front) parse(name string, args [][]byte) (*ask, error) {
 	if len(args) != 4 && len(args) != 5 {
 		return nil, fmt.Errorf("wrong number of arguments for '%s'", name)
 	}
@@ -76,7 +71,9 @@
 	if len(args[2]) == 0 {
 		return nil, errors.New("the id is empty")
 	}
-	a := &ask{at: f.now(), args: args, list: 3, class: -1, plan: -1, customer: strings.ToLower(string(args[1]))}
+	a := &ask{args: args, list: 3}
+	a.Caller, a.ID, a.At = a, string(args[2]), fr.core.Now()
+	a.Class, a.Plan, a.Customer = -1, -1, strings.ToLower(string(args[1]))
 	key, first := false, false
 	var seen [16]string
 	fields := seen[:0]
@@ -90,32 +87,32 @@
 		ok := true
 		switch k {
 		case "c":
-			a.class = index(f.cfg.Transport.Classes, v)
-			ok = a.class >= 0
+			a.Class = slices.Index(fr.cfg.Classes, v)
+			ok = a.Class >= 0
 		case "t":
-			a.plan = index(f.cfg.Transport.Plans, v)
-			ok = a.plan >= 0
+			a.Plan = slices.Index(fr.cfg.Plans, v)
+			ok = a.Plan >= 0
 		case "d":
 			ms, err := strconv.ParseUint(v, 10, 31)
 			ok = err == nil && ms > 0
-			a.wait = time.Duration(ms) * time.Millisecond
+			a.Wait = time.Duration(ms) * time.Millisecond
 			a.waitFrom, a.waitTo = at+2, at+len(item)
 		case "k":
 			ok = v != ""
 			key = true
 		case "r":
-			a.retry = v == "1"
+			a.Retry = v == "1"
 			ok = v == "1" || v == "0"
 		case "units":
-			a.units, ok = decimal(v)
-			ok = ok && a.units > 0 && a.units <= cmp.Or(f.cfg.Settings.MaxUnits, 1e9)
+			a.Units, ok = resp.Decimal(v)
+			ok = ok && a.Units > 0 && a.Units <= cmp.Or(fr.core.Settings.MaxUnits, 1e9)
 		case "spread":
 			n, err := strconv.ParseUint(v, 10, 31)
-			ok = err == nil && n > 0 && int(n) <= f.cfg.Settings.Doors
-			a.spread = int(n)
+			ok = err == nil && n > 0 && int(n) <= fr.core.Settings.Doors
+			a.Doors = int(n)
 		case "first":
 			n, err := strconv.ParseUint(v, 10, 31)
-			ok = err == nil && int(n) < f.cfg.Settings.Doors
+			ok = err == nil && int(n) < fr.core.Settings.Doors
 			first = true
 		}
 		if !ok {
@@ -124,12 +121,12 @@
 		at += len(item) + 1
 	}
 	switch {
-	case a.class < 0, a.plan < 0, a.wait == 0, a.units == 0, a.spread == 0, !first:
+	case a.Class < 0, a.Plan < 0, a.Wait == 0, a.Units == 0, a.Doors == 0, !first:
 		return nil, errors.New("one of c, t, d, units, spread and first is missing")
 	}
 	// A request and its timers are kept for as long as the client says that it waits.
-	class := &f.cfg.Settings.Classes[a.class]
-	if class.GiveUp > 0 && a.wait > class.GiveUp+lateAsk {
+	class := &fr.core.Settings.Classes[a.Class]
+	if class.GiveUp > 0 && a.Wait > class.GiveUp+lateAsk {
 		return nil, errors.New("ill-formed or unknown d")
 	}
 	switch effect := class.Effect; {
@@ -141,27 +138,8 @@
 	return a, nil
 }
 
-// decimal reads a number in plain digits. What the standard library takes besides, such as signs, exponents and hex,
-// a backend may read otherwise.
-func decimal(s string) (float64, bool) {
-	if strings.Trim(s, "0123456789.") != "" {
-		return 0, false
-	}
-	v, err := strconv.ParseFloat(s, 64)
-	return v, err == nil
-}
-
-func index(names []string, name string) int {
-	for i, n := range names {
-		if n == name {
-			return i
-		}
-	}
-	return -1
-}
-
-// forward is the command for a backend: as it came but for d, which tells how long this front door will wait.
-func (a *ask) forward(wait time.Duration) []byte {
+// Forward implements [core.Caller]. The command for a backend is as it came but for d, which tells how long this front door will wait.
+func (a *ask) Forward(wait time.Duration) []byte {
 	b := redcon.AppendArray(nil, len(a.args))
 	for i, arg := range a.args {
 		if i == a.list {
--- /dev/null
+++ b/internal/layout/layout_test.go
@@ -0,0 +1,56 @@
+// Package layout keeps the direction of the imports true.
+package layout
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+)
+
+func deps(t *testing.T, pkg string) []string {
+	t.Helper()
+	out, err := exec.Command("go", "list", "-deps", pkg).CombinedOutput()
+	if err != nil {
+		t.Fatalf("go list %s: %v\n%s", pkg, err, out)
+	}
+	return strings.Fields(string(out))
+}
+
+func none(t *testing.T, pkg string, forbidden ...string) {
+	t.Helper()
+	for _, d := range deps(t, pkg) {
+		for _, f := range forbidden {
+			if d == f || strings.HasPrefix(d, f+"/") {
+				t.Errorf("%s imports %s", pkg, d)
+			}
+		}
+	}
+}
+
+// What the platform runs stays lean, and no program that serves links a stand-in.
+func TestServingProgramsLinkNoStandIn(t *testing.T) {
+	heavy := []string{"google.golang.org/grpc", "go.etcd.io/bbolt", "modernc.org/sqlite", "github.com/envoyproxy",
+		"snowhall/internal/standin", "snowhall/internal/front/authz", "testing"}
+	none(t, "snowhall/cmd/gapgap", heavy...)
+	none(t, "snowhall/cmd/drill", heavy...)
+}
+
+// Judgement does no input or output.
+func TestJudgementIsFreeOfIO(t *testing.T) {
+	none(t, "snowhall", "net", "os/exec", "snowhall/internal")
+}
+
+// A floor imports only those below it.
+func TestFloors(t *testing.T) {
+	fronts := []string{"snowhall/internal/front", "snowhall/internal/service"}
+	sides := []string{"snowhall/internal/upstream", "snowhall/internal/counter", "snowhall/internal/membership/discovery"}
+	none(t, "snowhall/internal/core", append(fronts, "snowhall/internal/counter", "snowhall/internal/membership/discovery",
+		"snowhall/internal/front")...)
+	for _, s := range sides {
+		none(t, s, append(fronts, "snowhall/internal/core")...)
+	}
+	none(t, "snowhall/internal/front/resp2", append(sides[1:], "snowhall/internal/service")...)
+	for _, g := range []string{"loop", "resp", "sock", "budget"} {
+		none(t, "snowhall/internal/"+g, append(append(fronts, sides...), "snowhall/internal/core")...)
+	}
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,144 @@
+// Package loop is the one goroutine's ground: a queue of tasks, timers, and the clock that both go by. Whoever
+// calls [Loop.Wait] again and again is the loop goroutine; it alone runs tasks and timers, and it alone may
+// touch what they own. All other goroutines only [Loop.Post].
+package loop
+
+import (
+	"container/heap"
+	"time"
+)
+
+// tasksMost is how many tasks may wait; a goroutine that posts more waits for the loop.
+const tasksMost = 1024
+
+// Loop holds the tasks and timers of one loop goroutine.
+type Loop struct {
+	begun  time.Time
+	tasks  chan func()
+	done   chan struct{}
+	alarm  *time.Timer
+	timers timerHeap
+}
+
+// New makes a loop whose clock starts at the present Unix time.
+func New() *Loop {
+	alarm := time.NewTimer(time.Hour)
+	alarm.Stop()
+	return &Loop{begun: time.Now(), tasks: make(chan func(), tasksMost), done: make(chan struct{}), alarm: alarm}
+}
+
+// Now is the Unix time at the start and what has passed since, in nanoseconds. All front doors must read about the
+// same, as they name the counter's numbers by it; and it must not go back. Any goroutine may call it.
+func (l *Loop) Now() time.Duration {
+	return time.Duration(l.begun.UnixNano()) + time.Since(l.begun)
+}
+
+// Post hands the loop a task, from any other goroutine. After Close it is passed over.
+func (l *Loop) Post(task func()) {
+	select {
+	case l.tasks <- task:
+	case <-l.done:
+	}
+}
+
+// Close says that the loop runs no more tasks.
+func (l *Loop) Close() { close(l.done) }
+
+// Done is closed by Close.
+func (l *Loop) Done() <-chan struct{} { return l.done }
+
+// Wait waits for a task, a due timer, the limit or the signal, and runs all tasks that are there and all timers
+// that are due. It says whether it was the signal that came.
+func (l *Loop) Wait(limit time.Duration, signal <-chan struct{}) bool {
+	l.alarm.Reset(min(limit, l.next(l.Now())))
+	signalled := false
+	select {
+	case task := <-l.tasks:
+		task()
+	case <-l.alarm.C:
+	case <-signal:
+		signalled = true
+	}
+	for range len(l.tasks) {
+		(<-l.tasks)()
+	}
+	l.RunDue(l.Now())
+	return signalled
+}
+
+// RunTask runs one task if one is there.
+func (l *Loop) RunTask() bool {
+	select {
+	case task := <-l.tasks:
+		task()
+		return true
+	default:
+		return false
+	}
+}
+
+// Timer is a task for later.
+type Timer struct {
+	at   time.Duration
+	do   func()
+	spot int // in the heap; -1: no longer there
+	l    *Loop
+}
+
+// At runs a task at or after a time of the loop's clock. Only the loop goroutine may call it.
+func (l *Loop) At(at time.Duration, do func()) *Timer {
+	t := &Timer{at: at, do: do, l: l}
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// Stop takes a timer back; nil or one that has run is passed over.
+func (t *Timer) Stop() {
+	if t != nil && t.spot >= 0 {
+		heap.Remove(&t.l.timers, t.spot)
+	}
+}
+
+// Every runs a task again and again.
+func (l *Loop) Every(pause time.Duration, do func()) {
+	l.At(l.Now()+pause, func() {
+		do()
+		l.Every(pause, do)
+	})
+}
+
+// next is the time until the first timer.
+func (l *Loop) next(now time.Duration) time.Duration {
+	if len(l.timers) == 0 {
+		return time.Hour
+	}
+	return max(0, l.timers[0].at-now)
+}
+
+// RunDue runs the timers that are due at a time.
+func (l *Loop) RunDue(now time.Duration) {
+	for len(l.timers) > 0 && l.timers[0].at <= now {
+		heap.Pop(&l.timers).(*Timer).do()
+	}
+}
+
+type timerHeap []*Timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].spot, h[j].spot = i, j
+}
+func (h *timerHeap) Push(e any) {
+	e.(*Timer).spot = len(*h)
+	*h = append(*h, e.(*Timer))
+}
+func (h *timerHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	e.spot = -1
+	return e
+}
--- a/internal/front/discovery.go
+++ b/internal/membership/discovery/discovery.go
@@ -1,4 +1,5 @@
-package front
+// Package discovery follows the list of backends at the platform's agent, over HTTP.
+package discovery
 
 import (
 	"bufio"
@@ -8,11 +9,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"snowhall"
+	"snowhall/internal/loop"
+	"snowhall/internal/membership"
 )
 
 const (
@@ -44,9 +49,19 @@
 var statuses = map[string]snowhall.State{"SERVING": snowhall.InService, "DRAINING": snowhall.Terminating,
 	"DELETED": snowhall.Terminated}
 
-// discovery follows the list of backends. The loop owns it; the goroutines that read are given an address.
-type discovery struct {
-	f     *Front
+// Config says where the list is and how its words become the module's numbers.
+type Config struct {
+	Addr         string   // host:port of the agent
+	Known        Members  // the list as last had
+	Zones, Kinds []string // names, in the order of the module's indices
+}
+
+// Watch follows the list of backends. The loop owns it; the goroutines that read are given an address.
+type Watch struct {
+	l     *loop.Loop
+	log   *slog.Logger
+	cfg   Config
+	sink  func(membership.Update)
 	http  *http.Client
 	addr  string
 	index int64 // of the list as the loop has it
@@ -54,15 +69,28 @@
 	stop  context.CancelFunc
 }
 
-func newDiscovery(f *Front) *discovery {
+// New makes a watch that begins with Follow. The sink is called by the loop goroutine.
+func New(l *loop.Loop, log *slog.Logger, cfg Config, sink func(membership.Update)) *Watch {
 	t := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 		ResponseHeaderTimeout: watchSilence, MaxConnsPerHost: 4}
-	return &discovery{f: f, http: &http.Client{Transport: t}, addr: f.cfg.Discovery, index: f.cfg.Known.Index,
-		stop: func() {}}
+	return &Watch{l: l, log: log, cfg: cfg, sink: sink, http: &http.Client{Transport: t}, addr: cfg.Addr,
+		index: cfg.Known.Index, stop: func() {}}
+}
+
+// Addr is where the list is watched.
+func (d *Watch) Addr() string { return d.addr }
+
+// Known hands on the list as last had.
+func (d *Watch) Known() { d.take(d.cfg.Known, snowhall.Cached) }
+
+// Stop ends the watch.
+func (d *Watch) Stop() {
+	d.stop()
+	d.http.CloseIdleConnections()
 }
 
-// follow begins to watch at an address, from the index known last, and leaves the watch before.
-func (d *discovery) follow(addr string) {
+// Follow begins to watch at an address, from the index known last, and leaves the watch before.
+func (d *Watch) Follow(addr string) {
 	d.stop()
 	d.addr = addr
 	d.epoch++
@@ -74,7 +102,7 @@
 func membersURL(addr string) string { return "http://" + addr + "/catalog/members" }
 
 // run watches the list until the context ends.
-func (d *discovery) run(ctx context.Context, addr string, index int64, epoch int) {
+func (d *Watch) run(ctx context.Context, addr string, index int64, epoch int) {
 	pause := rewatchFirst
 	for ctx.Err() == nil {
 		from := index
@@ -82,7 +110,7 @@
 		if pause = min(2*pause, rewatchMost); index != from {
 			pause = rewatchFirst
 		}
-		d.f.log.Debug("watch ended", "error", err)
+		d.log.Debug("watch ended", "error", err)
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
@@ -91,7 +119,7 @@
 }
 
 // watch follows one watch to its end and keeps the index it has come to.
-func (d *discovery) watch(ctx context.Context, addr string, index *int64, epoch int) error {
+func (d *Watch) watch(ctx context.Context, addr string, index *int64, epoch int) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	resp, err := d.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", membersURL(addr), *index))
@@ -113,9 +141,9 @@
 			return fmt.Errorf("watch: %w", err)
 		}
 		*index = m.Index
-		d.f.post(func() {
+		d.l.Post(func() {
 			if epoch == d.epoch { // else the next watch brings it again, from the index that the loop had
-				d.f.discovered(m)
+				d.discovered(m)
 			}
 		})
 	}
@@ -129,7 +157,7 @@
 	return otherwise
 }
 
-func (d *discovery) get(ctx context.Context, url string) (*http.Response, error) {
+func (d *Watch) get(ctx context.Context, url string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -145,19 +173,21 @@
 	return resp, nil
 }
 
-// fetch gets the whole list once, for a Door that asks.
-func (d *discovery) fetch(addr string) {
+// Fetch gets the whole list once, for a Door that asks.
+func (d *Watch) Fetch() { go d.fetch(d.addr) }
+
+func (d *Watch) fetch(addr string) {
 	ctx, cancel := context.WithTimeout(context.Background(), watchSilence)
 	defer cancel()
 	m, err := d.list(ctx, addr)
 	if err != nil {
-		d.f.post(func() { d.f.tell(snowhall.List{Scope: snowhall.ListFailed}) })
+		d.l.Post(func() { d.sink(membership.Update{Scope: snowhall.ListFailed}) })
 		return
 	}
-	d.f.post(func() { d.f.discovered(m) })
+	d.l.Post(func() { d.discovered(m) })
 }
 
-func (d *discovery) list(ctx context.Context, addr string) (m Members, err error) {
+func (d *Watch) list(ctx context.Context, addr string) (m Members, err error) {
 	resp, err := d.get(ctx, membersURL(addr))
 	if err != nil {
 		return m, err
@@ -172,36 +202,29 @@
 	return m, nil
 }
 
-// discovered takes news of the backends to the pools and to the Door.
-func (f *Front) discovered(m Members) {
+// discovered takes news of the list.
+func (d *Watch) discovered(m Members) {
 	scope := snowhall.Delta
 	if m.Snapshot {
 		scope = snowhall.Whole
 	}
-	f.discovery.index = m.Index
-	f.take(m, scope)
+	d.index = m.Index
+	d.take(m, scope)
 }
 
-// take hands a list or its changes on.
-func (f *Front) take(m Members, scope snowhall.Scope) {
-	list := snowhall.List{Scope: scope}
+// take reads a list or its changes and hands them on.
+func (d *Watch) take(m Members, scope snowhall.Scope) {
+	u := membership.Update{Scope: scope}
 	for _, e := range m.Endpoints {
 		state, ok := statuses[e.Status]
 		if !ok || e.Name == "" {
-			f.log.Warn("an entry of the list that makes no sense", "name", e.Name, "status", e.Status)
+			d.log.Warn("an entry of the list that makes no sense", "name", e.Name, "status", e.Status)
 			continue
 		}
-		b := snowhall.Backend{Name: e.Name, Zone: max(0, index(f.cfg.Transport.Zones, e.Zone)),
-			Kind: max(0, index(f.cfg.Transport.Kinds, e.Type)), Cell: e.Group, State: state, Weight: e.Weight,
+		b := snowhall.Backend{Name: e.Name, Zone: max(0, slices.Index(d.cfg.Zones, e.Zone)),
+			Kind: max(0, slices.Index(d.cfg.Kinds, e.Type)), Cell: e.Group, State: state, Weight: e.Weight,
 			Started: time.Duration(e.SinceMS) * time.Millisecond}
-		list.Entries = append(list.Entries, b)
-		if state == snowhall.InService {
-			f.ready.Store(true)
-		}
-		f.backends.listed(b, e.Address)
-	}
-	if scope != snowhall.Delta {
-		f.backends.keepOnly(list.Entries)
+		u.Entries = append(u.Entries, membership.Entry{Backend: b, Addr: e.Address})
 	}
-	f.tell(list)
+	d.sink(u)
 }
--- a/internal/front/resp.go
+++ b/internal/resp/resp.go
@@ -1,39 +1,44 @@
-package front
+// Package resp reads RESP2 messages within bounds: redcon parses, this package frames and limits.
+package resp
 
 import (
 	"bytes"
 	"errors"
 	"io"
 	"strconv"
+	"strings"
 
 	"github.com/tidwall/redcon"
+
+	"snowhall/internal/budget"
 )
 
 const (
-	mostValue   = 64 << 10          // bytes of a value
-	mostMessage = mostValue + 8<<10 // bytes of a whole command or answer
+	MostValue   = 64 << 10          // bytes of a value
+	mostMessage = MostValue + 8<<10 // bytes of a whole command or answer
 	mostItems   = 64                // items of an array
 	mostHeader  = 32                // bytes of the line that gives a length
 	mostLine    = 4 << 10           // bytes of a line that is a value by itself
 	usualBuffer = 4 << 10           // bytes of a reader's buffer but for long messages
 )
 
+// Errors of a Reader beside those of what it reads from.
 var (
-	errMalformed = errors.New("malformed RESP")
-	errNoMemory  = errors.New("no memory left for a message")
+	ErrMalformed = errors.New("malformed RESP")
+	ErrNoMemory  = errors.New("no memory left for a message")
 )
 
-// respReader reads whole RESP messages. Redcon's own reader takes any length that the other side names and
+// Reader reads whole RESP messages. Redcon's own reader takes any length that the other side names and
 // can't tell a message that is not yet complete from one that never will be, so frame goes first.
-type respReader struct {
-	from   io.Reader
-	memory *budget // for what goes beyond the usual buffer; nil: unbounded
+type Reader struct {
+	From   io.Reader
+	Memory *budget.Bytes // for what goes beyond the usual buffer; nil: unbounded
 	buf    []byte
 	start  int // of what is not yet used
 }
 
-// next returns the next message. Its bytes are good until the next call.
-func (r *respReader) next() (redcon.RESP, error) {
+// Next returns the next message. Its bytes are good until the next call.
+func (r *Reader) Next() (redcon.RESP, error) {
 	for {
 		if n, err := frame(r.buf[r.start:], 2); err != nil {
 			return redcon.RESP{}, err
@@ -41,7 +46,7 @@
 			_, m := redcon.ReadNextRESP(r.buf[r.start : r.start+n])
 			r.start += n
 			if m.Type == 0 {
-				return m, errMalformed
+				return m, ErrMalformed
 			}
 			return m, nil
 		}
@@ -51,18 +56,18 @@
 		}
 		switch {
 		case len(r.buf) == 0 && cap(r.buf) != usualBuffer: // also gives back what a long message took
-			r.release()
+			r.Release()
 			r.buf = make([]byte, 0, usualBuffer)
 		case len(r.buf) >= mostMessage:
-			return redcon.RESP{}, errMalformed
+			return redcon.RESP{}, ErrMalformed
 		case len(r.buf) == cap(r.buf):
 			size := min(2*cap(r.buf), mostMessage)
-			if r.memory != nil && !r.memory.take(int64(size-cap(r.buf))) {
-				return redcon.RESP{}, errNoMemory
+			if r.Memory != nil && !r.Memory.Take(int64(size-cap(r.buf))) {
+				return redcon.RESP{}, ErrNoMemory
 			}
 			r.buf = append(make([]byte, 0, size), r.buf...)
 		}
-		n, err := r.from.Read(r.buf[len(r.buf):cap(r.buf)])
+		n, err := r.From.Read(r.buf[len(r.buf):cap(r.buf)])
 		r.buf = r.buf[:len(r.buf)+n]
 		if n == 0 && err != nil {
 			return redcon.RESP{}, err
@@ -70,16 +75,16 @@
 	}
 }
 
-// release gives the buffer back.
-func (r *respReader) release() {
-	if r.memory != nil && cap(r.buf) > usualBuffer {
-		r.memory.give(int64(cap(r.buf) - usualBuffer))
+// Release gives the buffer back.
+func (r *Reader) Release() {
+	if r.Memory != nil && cap(r.buf) > usualBuffer {
+		r.Memory.Give(int64(cap(r.buf) - usualBuffer))
 	}
 	r.buf, r.start = nil, 0
 }
 
-// partial tells whether a message has begun and not ended.
-func (r *respReader) partial() bool { return r.start < len(r.buf) }
+// Partial tells whether a message has begun and not ended.
+func (r *Reader) Partial() bool { return r.start < len(r.buf) }
 
 // frame returns the length of the first message in b, 0 if it is not complete yet. It refuses what can't become
 // a message within the limits, before memory is taken for it.
@@ -95,10 +100,10 @@
 	switch b[0] {
 	case redcon.Integer, redcon.String, redcon.Error, redcon.Bulk, redcon.Array:
 	default:
-		return 0, errMalformed
+		return 0, ErrMalformed
 	}
 	if end < 0 && len(b) >= most || end == 1 || end > 0 && b[end-1] != '\r' {
-		return 0, errMalformed
+		return 0, ErrMalformed
 	}
 	if end < 0 {
 		return 0, nil
@@ -108,20 +113,20 @@
 	case redcon.Bulk:
 		size, err := strconv.Atoi(string(line))
 		switch {
-		case err != nil || size < -1 || size > mostValue:
-			return 0, errMalformed
+		case err != nil || size < -1 || size > MostValue:
+			return 0, ErrMalformed
 		case size < 0:
 			return at, nil
 		case len(b) < at+size+2:
 			return 0, nil
 		case b[at+size] != '\r' || b[at+size+1] != '\n':
-			return 0, errMalformed
+			return 0, ErrMalformed
 		}
 		return at + size + 2, nil
 	case redcon.Array:
 		count, err := strconv.Atoi(string(line))
 		if err != nil || count < -1 || count > mostItems || depth == 0 {
-			return 0, errMalformed
+			return 0, ErrMalformed
 		}
 		for range count {
 			n, err := frame(b[at:], depth-1)
@@ -133,3 +138,13 @@
 	}
 	return at, nil
 }
+
+// Decimal reads a number in plain digits. What the standard library takes besides, such as signs, exponents and hex,
+// a backend may read otherwise.
+func Decimal(s string) (float64, bool) {
+	if strings.Trim(s, "0123456789.") != "" {
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	return v, err == nil
+}
--- a/internal/front/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -1,4 +1,4 @@
-package front
+package resp
 
 import (
 	"errors"
@@ -9,11 +9,11 @@
 )
 
 func TestRespReaderTakesPieces(t *testing.T) {
-	text := "*2\r\n$3\r\na\r\n\r\n*1\r\n$-1\r\n+OK\r\n-ERR x\r\n:5\r\n$" + "65536\r\n" + strings.Repeat("x", mostValue) + "\r\n"
-	in := &respReader{from: iotest.OneByteReader(strings.NewReader(text))}
+	text := "*2\r\n$3\r\na\r\n\r\n*1\r\n$-1\r\n+OK\r\n-ERR x\r\n:5\r\n$" + "65536\r\n" + strings.Repeat("x", MostValue) + "\r\n"
+	in := &Reader{From: iotest.OneByteReader(strings.NewReader(text))}
 	var got string
 	for {
-		m, err := in.next()
+		m, err := in.Next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
@@ -22,7 +22,7 @@
 		}
 		got += string(m.Raw)
 	}
-	if got != text || in.partial() {
+	if got != text || in.Partial() {
 		t.Errorf("%d of %d bytes", len(got), len(text))
 	}
 }
@@ -31,8 +31,8 @@
 func TestRespReaderRefuses(t *testing.T) {
 	for _, bad := range []string{"PING\r\n", "\n", "$x\r\n", "$-2\r\n", "$65537\r\n", "*65\r\n", "*-2\r\n", "$1\r\nab\r\n",
 		"*1\n", "$" + strings.Repeat("1", mostHeader), "+" + strings.Repeat("a", mostLine), "*1\r\n*1\r\n*1\r\n:1\r\n"} {
-		in := &respReader{from: io.MultiReader(strings.NewReader(bad), iotest.ErrReader(errors.New("asked for more")))}
-		if _, err := in.next(); !errors.Is(err, errMalformed) {
+		in := &Reader{From: io.MultiReader(strings.NewReader(bad), iotest.ErrReader(errors.New("asked for more")))}
+		if _, err := in.Next(); !errors.Is(err, ErrMalformed) {
 			t.Errorf("%.40q: %v", bad, err)
 		}
 	}
@@ -41,9 +41,9 @@
 func FuzzRespReader(f *testing.F) {
 	f.Add("*1\r\n$4\r\nPING\r\n")
 	f.Fuzz(func(t *testing.T, s string) {
-		in := &respReader{from: strings.NewReader(s)}
+		in := &Reader{From: strings.NewReader(s)}
 		for {
-			if _, err := in.next(); err != nil {
+			if _, err := in.Next(); err != nil {
 				return
 			}
 		}
--- a/internal/front/config.go
+++ b/internal/service/config.go
@@ -1,4 +1,4 @@
-package front
+package service
 
 import (
 	"bytes"
@@ -11,6 +11,7 @@
 	"strings"
 
 	"snowhall"
+	"snowhall/internal/membership/discovery"
 	"snowhall/internal/wire"
 )
 
@@ -25,7 +26,7 @@
 	Sockets   int
 	Settings  snowhall.Settings
 	Transport wire.Transport
-	Known     Members // the list of backends as last had, maybe old
+	Known     discovery.Members // the list of backends as last had, maybe old
 }
 
 // ReadConfig reads the JSON form of a Config.
@@ -36,7 +37,7 @@
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
 		}
-		Known    Members
+		Known    discovery.Members
 		Settings map[string]any
 	}
 	dec := json.NewDecoder(r)
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,78 @@
+// Package service puts one process together out of a checked configuration.
+package service
+
+import (
+	"context"
+	"log/slog"
+	"net"
+
+	"snowhall/internal/budget"
+	"snowhall/internal/core"
+	"snowhall/internal/counter"
+	"snowhall/internal/front/resp2"
+	"snowhall/internal/loop"
+	"snowhall/internal/membership/discovery"
+	"snowhall/internal/upstream"
+)
+
+const (
+	clientShare   = 0.62      // of the sockets that may be held, for clients
+	backendShare  = 0.28      // and for connections to backends
+	unknownShare  = 400       // connections of either kind where no number of sockets is told
+	memoryShare   = 0.25      // of the memory limit, for what clients have sent and not yet read
+	unknownMemory = 128 << 20 // bytes taken for the limit where none is told
+)
+
+// NewCore makes the core of a front door with its sides: connections to backends, the counter and the platform's
+// discovery.
+func NewCore(cfg *Config, log *slog.Logger) (*core.Core, error) {
+	l := loop.New()
+	memory := cfg.MemoryMB << 20
+	if memory <= 0 {
+		memory = unknownMemory
+	}
+	c, err := core.New(l, core.Config{Settings: cfg.Settings, Seed: cfg.Seed, MostOpen: cfg.Transport.MostOpen,
+		Memory: budget.NewBytes(int64(float64(memory) * memoryShare)),
+		Conns:  budget.NewConns(share(cfg.Sockets, clientShare), l.Now)}, log)
+	if err != nil {
+		return nil, err
+	}
+	c.Connect(
+		upstream.New(l, upstream.Config{Most: share(cfg.Sockets, backendShare), DialTimeout: cfg.Transport.DialTimeout,
+			Idle: cfg.Transport.ConnIdle}, c.Probed),
+		counter.New(l, counter.Config{Addr: cfg.Counter, Enabled: cfg.Settings.Counter,
+			Timeout: cfg.Settings.CounterTimeout, DialTimeout: cfg.Transport.DialTimeout}, c.Counted),
+		discovery.New(l, log, discovery.Config{Addr: cfg.Discovery, Known: cfg.Known, Zones: cfg.Transport.Zones,
+			Kinds: cfg.Transport.Kinds}, c.Listed))
+	return c, nil
+}
+
+// share is a part of the sockets.
+func share(sockets int, part float64) int {
+	if n := int(float64(sockets) * part); n > 0 {
+		return n
+	}
+	return unknownShare
+}
+
+// Platform is the lean front door that the platform runs: one core, one RESP2 listener.
+type Platform struct {
+	*core.Core
+	cfg *Config
+	log *slog.Logger
+}
+
+// NewPlatform makes one. It takes no connection before Serve.
+func NewPlatform(cfg *Config, log *slog.Logger) (*Platform, error) {
+	c, err := NewCore(cfg, log)
+	if err != nil {
+		return nil, err
+	}
+	return &Platform{c, cfg, log}, nil
+}
+
+// Serve serves what connects to the listener until the context ends, then answers what was taken and returns.
+func (p *Platform) Serve(ctx context.Context, ln net.Listener) {
+	p.log.Info("serving", "listen", ln.Addr(), "backends", len(p.cfg.Known.Endpoints))
+	p.Run(ctx, resp2.New(p.Core, resp2.Config{Classes: p.cfg.Transport.Classes, Plans: p.cfg.Transport.Plans}, ln, p.log))
+}
--- /dev/null
+++ b/internal/service/world_test.go
@@ -0,0 +1,123 @@
+package service
+
+import (
+	"snowhall/internal/membership/discovery"
+	"snowhall/internal/standin/peer"
+
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+var discard = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+const settingsJSON = `{"peers-total":1,"rank":0,"resolution-us":4000,"discovery":"pushed","areas":["dc1"],"kinds":["std"],
+"limits":{"max-attempts":3,"cancel":true,"may-probe":true,"retry-after":true,"max-retry-after-us":1000000,
+ "dial-timeout-us":%d,"conn-idle-us":30000000,"open-cap":1000,"second-copies":false},
+"obligations":{"stop-sending-within-us":250000,"fall-multiple":3.0,"fall-us":3000000,"cold-from":0.26,"warm-within-us":15000000},
+"specifics":{"shared-counter":%v,"counter-timeout-us":50000,"max-units":1,"meter-us":2000000},
+"classes":[{"name":"evaluate","effect":"safe","worth":1.0,"target-us":10000000,"give-up-us":30000000},
+ {"name":"change","effect":"keyed","group":"all","window-us":12000000,"worth":5.0,"target-us":6000000,"give-up-us":20000000},
+ {"name":"once","effect":"unsafe","worth":5.0,"target-us":6000000,"give-up-us":20000000}],
+"tiers-of-service":[{"name":"open","value-factor":1.0},
+ {"name":"starter","value-factor":1.0,"units-per-s":2.5,"most-at-once":10,"over-cost":1.2}]}`
+
+// world is a front door with what stands round it, all on loopback.
+type world struct {
+	t       *testing.T
+	p       *Platform
+	addr    string
+	stop    context.CancelFunc
+	news    chan discovery.Members // to the watch
+	watches chan string            // index each watch asked for
+}
+
+type option func(*Config, *testing.T)
+
+// start runs a front door that knows the given backends.
+func start(t *testing.T, addrs []string, options ...option) *world {
+	t.Helper()
+	w := &world{t: t, news: make(chan discovery.Members), watches: make(chan string, 16)}
+	disco := httptest.NewServer(http.HandlerFunc(w.serveWatch))
+	cfg := config(t, false, 5_000_000)
+	cfg.Discovery = strings.TrimPrefix(disco.URL, "http://")
+	cfg.Known = members(1, addrs...)
+	for _, o := range options {
+		o(cfg, t)
+	}
+	p, err := NewPlatform(cfg, discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ln := peer.Listen(t)
+	w.p, w.addr, w.stop = p, ln.Addr().String(), stop
+	go p.Serve(ctx, ln)
+	t.Cleanup(func() {
+		stop()
+		<-p.Done()
+		disco.CloseClientConnections()
+		disco.Close()
+	})
+	return w
+}
+
+func config(t *testing.T, counter bool, dialUS int) *Config {
+	t.Helper()
+	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"counter":"127.0.0.1:1","settings":`+settingsJSON+`}`, dialUS, counter)
+	cfg, err := ReadConfig(strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+func members(index int64, addrs ...string) discovery.Members {
+	m := discovery.Members{Index: index, Snapshot: true}
+	for i, a := range addrs {
+		m.Endpoints = append(m.Endpoints, discovery.Endpoint{Name: fmt.Sprint("s-", i), Address: a, Zone: "dc1", Type: "std",
+			Status: "SERVING", Weight: 1})
+	}
+	return m
+}
+
+func (w *world) serveWatch(rw http.ResponseWriter, r *http.Request) {
+	select {
+	case w.watches <- r.URL.Query().Get("index"):
+	default:
+	}
+	rw.WriteHeader(http.StatusOK)
+	rw.(http.Flusher).Flush()
+	for {
+		select {
+		case m := <-w.news:
+			if m.Index < 0 { // the test ends this watch
+				return
+			}
+			json.NewEncoder(rw).Encode(lower(m))
+			rw.(http.Flusher).Flush()
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// lower gives a list discovery's own names.
+func lower(m discovery.Members) map[string]any {
+	list := []map[string]any{}
+	for _, e := range m.Endpoints {
+		list = append(list, map[string]any{"name": e.Name, "address": e.Address, "zone": e.Zone, "type": e.Type,
+			"group": e.Group, "status": e.Status, "weight": e.Weight, "since_ms": e.SinceMS})
+	}
+	return map[string]any{"index": m.Index, "snapshot": m.Snapshot, "endpoints": list}
+}
+
+// dial connects a client.
+func (w *world) dial() *peer.Peer { return peer.Dial(w.t, w.addr) }
--- a/internal/front/sock.go
+++ b/internal/sock/sock.go
@@ -1,13 +1,14 @@
-package front
+// Package sock uses sockets without waiting.
+package sock
 
 import (
 	"net"
 	"syscall"
 )
 
-// writeNow writes what the socket takes at once, without waiting, and returns how much that was. Nothing else may be
+// WriteNow writes what the socket takes at once, without waiting, and returns how much that was. Nothing else may be
 // writing. It spares a goroutine for each short message.
-func writeNow(nc net.Conn, b []byte) (int, error) {
+func WriteNow(nc net.Conn, b []byte) (int, error) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return 0, nil
@@ -42,9 +43,9 @@
 	return done, failed
 }
 
-// quiet says whether the other side has neither sent anything nor ended the connection. It works beside a
+// Quiet says whether the other side has neither sent anything nor ended the connection. It works beside a
 // goroutine that reads.
-func quiet(nc net.Conn) bool {
+func Quiet(nc net.Conn) bool {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/front/backends.go
+++ b/internal/upstream/upstream.go
@@ -1,4 +1,6 @@
-package front
+// Package upstream holds the connections to backends and carries attempts and probes on them, one a connection at a
+// time. It decides nothing: which backend, when and how often is the module's.
+package upstream
 
 import (
 	"bytes"
@@ -13,26 +15,62 @@
 	"github.com/tidwall/redcon"
 
 	"snowhall"
+	"snowhall/internal/loop"
+	"snowhall/internal/membership"
+	"snowhall/internal/resp"
+	"snowhall/internal/sock"
 )
 
 const (
-	backendShare = 0.28                   // of the sockets that may be held, for connections to backends
 	idleShare    = 0.6                    // of the time after which a backend closes an idle connection: closed here before
 	stalledAfter = 250 * time.Millisecond // an answer that has begun and then stops for so long has a wrong length
 )
 
-// attempt is one try of a request at a backend.
-type attempt struct {
-	r       *request
-	no      int
-	backend string
-	at      time.Duration
-	until   time.Duration
-	timeout *timer
+// Attempt is one try of a request at a backend. The loop owns it.
+type Attempt struct {
+	Backend string
+	At      time.Duration // when it was sent, on the loop's clock
+	Until   time.Duration // when it ends as Timeout
+	Owner   Owner
+	timeout *loop.Timer
 	conn    *conn
 	ended   bool
 }
 
+// Owner is what an attempt is made for. The loop goroutine calls it.
+type Owner interface {
+	// Command is the whole command for the backend, which tells it how long this side will wait.
+	Command(wait time.Duration) []byte
+	// Ended takes the one outcome of the attempt.
+	Ended(Result)
+}
+
+// Result is the outcome of an attempt.
+type Result struct {
+	Status snowhall.Status
+	Value  []byte // with OK: the value as a RESP2 bulk string
+	Used   int    // 1 + percent of the quota used; 0: not told
+}
+
+// End ends an attempt that Send has not been given.
+func (a *Attempt) End(status snowhall.Status) { a.end(Result{Status: status}) }
+
+func (a *Attempt) end(r Result) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.timeout.Stop()
+	a.Owner.Ended(r)
+}
+
+// Config bounds the connections.
+type Config struct {
+	Most        int           // connections at once
+	DialTimeout time.Duration // for a connection to come up
+	Idle        time.Duration // backends close a connection that has been idle for this long; 0: never
+}
+
 // backend is what is known of one backend's address, and its connections.
 type backend struct {
 	name, addr string
@@ -47,11 +85,11 @@
 // conn is a connection to a backend. It carries one thing at a time, an attempt or a probe, and is closed when
 // that is given up: so it never has an answer owed when it is used again. The loop owns it but for what is atomic.
 type conn struct {
-	f       *Front
+	p       *Pool
 	b       *backend
 	nc      net.Conn // nil while it is being dialled
 	dial    context.CancelFunc
-	attempt *attempt
+	attempt *Attempt
 	probe   *probe
 	closed  bool
 	era     int // of the backend when it was dialled
@@ -60,7 +98,7 @@
 	broken  atomic.Bool  // its reader has ended
 	spoilt  atomic.Bool  // ... since what came is no answer
 	asked   atomic.Int32 // commands given to it
-	in      *respReader  // the reader's
+	in      *resp.Reader // the reader's
 	got     int32        // the reader's: answers read
 	timed   bool         // the reader's: a read deadline is set
 }
@@ -75,27 +113,35 @@
 
 type probe struct {
 	backend string
-	timeout *timer
+	timeout *loop.Timer
+}
+
+// Pool holds the connections to all backends. The loop owns it.
+type Pool struct {
+	l      *loop.Loop
+	cfg    Config
+	probes func(snowhall.Probed)
+	all    map[string]*backend
+	count  int // connections, those being dialled too
 }
 
-// backends holds the pools of connections.
-type backends struct {
-	f     *Front
-	all   map[string]*backend
-	count int // connections, those being dialled too
-	most  int
+// New makes an empty pool. The results of probes go to the function, by the loop goroutine.
+func New(l *loop.Loop, cfg Config, probes func(snowhall.Probed)) *Pool {
+	return &Pool{l: l, cfg: cfg, probes: probes, all: map[string]*backend{}}
 }
 
-func newBackends(f *Front) *backends {
-	most := int(float64(f.cfg.Sockets) * backendShare)
-	if most <= 0 {
-		most = 400
+// Close ends all connections.
+func (bs *Pool) Close() {
+	for _, b := range bs.all {
+		for c := range b.conns {
+			bs.close(c)
+		}
+		b.idle = nil
 	}
-	return &backends{f: f, all: map[string]*backend{}, most: most}
 }
 
-// listed takes what discovery says of one backend.
-func (bs *backends) listed(e snowhall.Backend, addr string) {
+// Listed takes what the list says of one backend.
+func (bs *Pool) Listed(e snowhall.Backend, addr string) {
 	b := bs.all[e.Name]
 	if b == nil {
 		b = &backend{name: e.Name, conns: map[*conn]bool{}}
@@ -104,7 +150,7 @@
 	if b.addr != addr || b.started != e.Started { // another process: no old connection leads to it
 		b.addr, b.started = addr, e.Started
 		b.era++ // what is busy is closed with its answer
-		bs.closeIdle(b, bs.f.now())
+		bs.closeIdle(b, bs.l.Now())
 		bs.dropDialled(b)
 	}
 	if b.listed = e.State == snowhall.InService; !b.listed {
@@ -112,8 +158,8 @@
 	}
 }
 
-// keepOnly retires the backends that a whole list leaves out.
-func (bs *backends) keepOnly(list []snowhall.Backend) {
+// KeepOnly retires the backends that a whole list leaves out.
+func (bs *Pool) KeepOnly(list []membership.Entry) {
 	named := map[string]bool{}
 	for _, e := range list {
 		named[e.Name] = true
@@ -128,14 +174,14 @@
 
 // retire sees to it that nothing new reaches a backend that drains or is gone. An attempt that still waits for
 // its connection would be written when that comes up, perhaps after the grace: it is taken back unsent.
-func (bs *backends) retire(b *backend) {
-	bs.closeIdle(b, bs.f.now())
+func (bs *Pool) retire(b *backend) {
+	bs.closeIdle(b, bs.l.Now())
 	bs.dropDialled(b)
 	bs.forget(b)
 }
 
 // dropDialled takes back what waits for a connection.
-func (bs *backends) dropDialled(b *backend) {
+func (bs *Pool) dropDialled(b *backend) {
 	for c := range b.conns {
 		if c.nc == nil {
 			bs.drop(c, snowhall.Moot)
@@ -143,7 +189,7 @@
 	}
 }
 
-func (bs *backends) forget(b *backend) {
+func (bs *Pool) forget(b *backend) {
 	if !b.listed && len(b.conns) == 0 {
 		delete(bs.all, b.name)
 	}
@@ -155,7 +201,7 @@
 }
 
 // closeIdle closes the idle connections of a backend that have not been used since a time.
-func (bs *backends) closeIdle(b *backend, since time.Duration) {
+func (bs *Pool) closeIdle(b *backend, since time.Duration) {
 	kept := b.idle[:0]
 	for _, c := range b.idle {
 		if c.idleAt > since {
@@ -168,10 +214,10 @@
 	b.idle = kept
 }
 
-// sweep closes what has been idle for long.
-func (bs *backends) sweep() {
-	if idle := bs.f.cfg.Transport.ConnIdle; idle > 0 {
-		since := bs.f.now() - time.Duration(float64(idle)*idleShare)
+// Sweep closes what has been idle for long.
+func (bs *Pool) Sweep() {
+	if idle := bs.cfg.Idle; idle > 0 {
+		since := bs.l.Now() - time.Duration(float64(idle)*idleShare)
 		for _, b := range bs.all {
 			bs.closeIdle(b, since)
 		}
@@ -179,7 +225,7 @@
 }
 
 // close ends a connection that carries nothing, or whose load has been taken off.
-func (bs *backends) close(c *conn) {
+func (bs *Pool) close(c *conn) {
 	if c.closed {
 		return
 	}
@@ -193,12 +239,12 @@
 }
 
 // drop closes a connection and ends what it carried.
-func (bs *backends) drop(c *conn, status snowhall.Status) {
+func (bs *Pool) drop(c *conn, status snowhall.Status) {
 	a, p := c.attempt, c.probe
 	c.attempt, c.probe = nil, nil
 	bs.close(c) // first: the next attempt must not go out while this one still can be answered
 	if a != nil {
-		bs.f.ended(a, status, 0)
+		a.end(Result{Status: status})
 	}
 	if p != nil {
 		bs.probed(p, status)
@@ -206,25 +252,25 @@
 	bs.forget(c.b)
 }
 
-// send starts an attempt, on the warm connection used last if there is one: a new one costs the backend work.
-func (bs *backends) send(a *attempt) {
-	b := bs.all[a.backend]
+// Send starts an attempt, on the warm connection used last if there is one: a new one costs the backend work.
+func (bs *Pool) Send(a *Attempt) {
+	b := bs.all[a.Backend]
 	if b == nil || !b.listed {
-		bs.f.ended(a, snowhall.Moot, 0)
+		a.End(snowhall.Moot)
 		return
 	}
 	c := bs.take(b)
 	if c == nil {
-		bs.f.ended(a, snowhall.Moot, 0) // for want of sockets here, which is no fault of the backend
+		a.End(snowhall.Moot) // for want of sockets here, which is no fault of the backend
 		return
 	}
 	c.attempt, a.conn = a, c
-	a.timeout = bs.f.timers.add(a.until, func() {
+	a.timeout = bs.l.At(a.Until, func() {
 		status := snowhall.Timeout
 		if c.sent.Load() == unsent { // still dialling: it never ran
 			status = snowhall.ConnectFailed
 		}
-		bs.silent(b, a.at)
+		bs.silent(b, a.At)
 		bs.drop(c, status)
 	})
 	if c.nc != nil {
@@ -235,32 +281,32 @@
 // silent is called when no answer came in time. If the backend has said nothing at all since the command was
 // sent, its machine may be gone, and the connections that idle since then with it: they would stay open and
 // silent, so the next attempts must find out by new ones.
-func (bs *backends) silent(b *backend, since time.Duration) {
+func (bs *Pool) silent(b *backend, since time.Duration) {
 	if b.heard < since {
 		bs.closeIdle(b, since)
 	}
 }
 
 // take returns an idle connection or starts to dial one; nil where no socket is left.
-func (bs *backends) take(b *backend) *conn {
+func (bs *Pool) take(b *backend) *conn {
 	for n := len(b.idle); n > 0; n = len(b.idle) {
 		c := b.idle[n-1]
 		b.idle[n-1] = nil
 		b.idle = b.idle[:n-1]
 		// What came since the last answer would be taken for the next one, and a connection that has ended would
 		// leave it open whether the command has run.
-		if c.broken.Load() || !quiet(c.nc) {
+		if c.broken.Load() || !sock.Quiet(c.nc) {
 			bs.close(c)
 			continue
 		}
 		c.sent.Store(unsent)
 		return c
 	}
-	if bs.count >= bs.most && !bs.closeOldest() {
+	if bs.count >= bs.cfg.Most && !bs.closeOldest() {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), bs.f.cfg.Transport.DialTimeout)
-	c := &conn{f: bs.f, b: b, era: b.era, dial: cancel}
+	ctx, cancel := context.WithTimeout(context.Background(), bs.cfg.DialTimeout)
+	c := &conn{p: bs, b: b, era: b.era, dial: cancel}
 	bs.count++
 	b.conns[c] = true
 	go c.run(ctx, b.addr)
@@ -268,7 +314,7 @@
 }
 
 // closeOldest makes room for a new connection.
-func (bs *backends) closeOldest() bool {
+func (bs *Pool) closeOldest() bool {
 	var oldest *conn
 	for _, b := range bs.all {
 		if len(b.idle) > 0 && (oldest == nil || b.idle[0].idleAt < oldest.idleAt) {
@@ -282,8 +328,8 @@
 	return oldest != nil
 }
 
-// cancel gives up an attempt.
-func (bs *backends) cancel(a *attempt) {
+// Cancel gives up an attempt.
+func (bs *Pool) Cancel(a *Attempt) {
 	if a.ended || a.conn == nil {
 		return
 	}
@@ -294,37 +340,37 @@
 	bs.drop(a.conn, status)
 }
 
-// probe asks a backend whether it answers.
-func (bs *backends) probe(name string) {
+// Probe asks a backend whether it answers.
+func (bs *Pool) Probe(name string) {
 	p := &probe{backend: name}
 	b := bs.all[name]
 	if b == nil || !b.listed {
 		bs.probed(p, snowhall.Moot)
 		return
 	}
-	bs.closeIdle(b, bs.f.now()) // a probe is to tell whether the backend can be reached anew
+	bs.closeIdle(b, bs.l.Now()) // a probe is to tell whether the backend can be reached anew
 	c := bs.take(b)
 	if c == nil {
 		bs.probed(p, snowhall.Moot)
 		return
 	}
 	c.probe = p
-	p.timeout = bs.f.timers.add(bs.f.now()+2*bs.f.cfg.Transport.DialTimeout, func() { bs.drop(c, snowhall.Timeout) })
+	p.timeout = bs.l.At(bs.l.Now()+2*bs.cfg.DialTimeout, func() { bs.drop(c, snowhall.Timeout) })
 }
 
-func (bs *backends) probed(p *probe, status snowhall.Status) {
-	bs.f.timers.stop(p.timeout)
-	bs.f.tell(snowhall.Probed{Backend: p.backend, Status: status})
+func (bs *Pool) probed(p *probe, status snowhall.Status) {
+	p.timeout.Stop()
+	bs.probes(snowhall.Probed{Backend: p.backend, Status: status})
 }
 
 // run dials and then reads answers until the connection ends.
 func (c *conn) run(ctx context.Context, addr string) {
 	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	if err != nil {
-		c.f.post(func() { c.f.backends.drop(c, snowhall.ConnectFailed) })
+		c.p.l.Post(func() { c.p.drop(c, snowhall.ConnectFailed) })
 		return
 	}
-	c.f.post(func() {
+	c.p.l.Post(func() {
 		if c.closed { // given up meanwhile: nothing may be written any more
 			nc.Close()
 			return
@@ -332,28 +378,28 @@
 		c.nc = nc
 		c.start()
 	})
-	c.in = &respReader{from: reader{c, nc}}
+	c.in = &resp.Reader{From: reader{c, nc}}
 	for {
-		m, err := c.in.next()
+		m, err := c.in.Next()
 		if err != nil {
-			c.spoilt.Store(errors.Is(err, errMalformed) || errors.Is(err, errUnasked) ||
+			c.spoilt.Store(errors.Is(err, resp.ErrMalformed) || errors.Is(err, errUnasked) ||
 				errors.Is(err, os.ErrDeadlineExceeded))
 			nc.Close()
 			if c.broken.Store(true); c.sent.Load() != sending { // else write posts it, knowing how far it got
-				c.f.post(c.ended)
+				c.p.l.Post(c.ended)
 			}
 			return
 		}
 		r := readReply(m)
 		c.got++
-		r.surplus = c.in.partial()
-		c.f.post(func() { c.f.backends.answered(c, r) })
+		r.surplus = c.in.Partial()
+		c.p.l.Post(func() { c.p.answered(c, r) })
 	}
 }
 
 var errUnasked = errors.New("an answer to no command")
 
-// reader reads from a backend's socket for the respReader. It takes nothing while no answer is owed: that would be
+// reader reads from a backend's socket for the resp.Reader. It takes nothing while no answer is owed: that would be
 // found in front of the next answer. And an answer that has begun must go on.
 type reader struct {
 	c  *conn
@@ -362,7 +408,7 @@
 
 func (r reader) Read(b []byte) (int, error) {
 	c := r.c
-	if c.in.partial() {
+	if c.in.Partial() {
 		r.nc.SetReadDeadline(time.Now().Add(stalledAfter))
 		c.timed = true
 	} else if c.timed {
@@ -382,7 +428,7 @@
 	var b []byte
 	switch {
 	case c.attempt != nil:
-		b = c.attempt.r.ask.forward(c.attempt.until - c.f.now())
+		b = c.attempt.Owner.Command(c.attempt.Until - c.p.l.Now())
 	case c.probe != nil:
 		b = []byte("*1\r\n$4\r\nPING\r\n")
 	default:
@@ -390,7 +436,7 @@
 	}
 	c.asked.Add(1)
 	c.sent.Store(sending)
-	n, err := writeNow(c.nc, b)
+	n, err := sock.WriteNow(c.nc, b)
 	if n == len(b) || err != nil {
 		c.wrote(err)
 		return
@@ -411,14 +457,14 @@
 		c.sent.Store(whole)
 	}
 	if c.broken.Load() {
-		go c.f.post(c.ended)
+		go c.p.l.Post(c.ended)
 	}
 }
 
 // ended takes the end of a connection. If it broke before the last byte was written, the command never ran; if what
 // came is no answer, it has run, and the backend lives.
 func (c *conn) ended() {
-	bs := c.f.backends
+	bs := c.p
 	c.b.notIdle(c)
 	if c.attempt != nil && c.asked.Load() > 1 {
 		bs.closeIdle(c.b, c.idleAt) // what has been idle for longer is no better
@@ -433,7 +479,7 @@
 }
 
 // answered takes an answer. A connection on which more came than was asked for is not used again.
-func (bs *backends) answered(c *conn, r reply) {
+func (bs *Pool) answered(c *conn, r reply) {
 	if c.closed {
 		return
 	}
@@ -445,7 +491,7 @@
 			r.status = snowhall.Failed
 		}
 	}
-	now := bs.f.now()
+	now := bs.l.Now()
 	c.b.heard = now
 	if a == nil && p == nil || r.surplus || r.odd && (p == nil || !r.pong) || c.sent.Load() != whole || !c.b.listed ||
 		c.era != c.b.era {
@@ -462,10 +508,7 @@
 	if a == nil {
 		return
 	}
-	if r.status == snowhall.OK {
-		bs.f.answer(a.r, r.value) // this ends the request, and the outcome says so
-	}
-	bs.f.ended(a, r.status, r.used)
+	a.end(Result{Status: r.status, Value: r.value, Used: r.used})
 }
 
 // reply is an answer of a backend.
@@ -520,7 +563,7 @@
 func used(list []byte) int {
 	for item := range bytes.SplitSeq(list, []byte{','}) {
 		if v, ok := bytes.CutPrefix(item, []byte("used=")); ok {
-			if n, ok := decimal(string(v)); ok && n < 1e6 {
+			if n, ok := resp.Decimal(string(v)); ok && n < 1e6 {
 				return int(n) + 1
 			}
 		}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,349 @@
+package upstream
+
+import (
+	"snowhall/internal/loop"
+	"snowhall/internal/membership"
+	"snowhall/internal/sock"
+	"snowhall/internal/standin/peer"
+
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"snowhall"
+)
+
+func TestReadReply(t *testing.T) {
+	for text, want := range map[string]reply{
+		"*3\r\n$2\r\nhi\r\n$14\r\nused=37,cost=4\r\n$-1\r\n": {status: snowhall.OK, value: []byte("$2\r\nhi\r\n"), used: 38},
+		"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n":                     {status: snowhall.OK, value: []byte("$0\r\n\r\n")},
+		"-ERR failed\r\n":                                    {status: snowhall.Failed},
+		"-ERR failed used=0 inflight=7\r\n":                  {status: snowhall.Failed, used: 1},
+		"-BUSY cost=1,used=120\r\n":                          {status: snowhall.Full, used: 121},
+		"-ER\x00 x used=3\r\n":                               {status: snowhall.Failed, odd: true, used: 4},
+		"-BUSY\r\n":                                          {status: snowhall.Full},
+		"+PONG\r\n":                                          {status: snowhall.OK, odd: true, pong: true},
+		"*1\r\n$-1\r\n":                                      {status: snowhall.Failed, odd: true},
+		"*0\r\n":                                             {status: snowhall.Failed, odd: true},
+		"$2\r\nhi\r\n":                                       {status: snowhall.Failed, odd: true},
+		":1\r\n":                                             {status: snowhall.Failed, odd: true},
+	} {
+		n, m := redcon.ReadNextRESP([]byte(text))
+		if got := readReply(m); n != len(text) || fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("%q: got %+v, want %+v", text, got, want)
+		}
+	}
+}
+
+// rig is a pool on a loop that the test plays.
+type rig struct {
+	*loop.Loop
+	pool   *Pool
+	events []snowhall.Status // outcomes
+	probed []snowhall.Probed
+}
+
+// owner is what the attempts of a rig are made for.
+type owner struct{ f *rig }
+
+func (o owner) Command(time.Duration) []byte { return []byte("*1\r\n$5\r\nQ.ASK\r\n") }
+func (o owner) Ended(r Result)               { o.f.events = append(o.f.events, r.Status) }
+
+// idle is a pool that knows the given backends.
+func idle(t *testing.T, addrs ...string) *rig {
+	t.Helper()
+	f := &rig{Loop: loop.New()}
+	f.pool = New(f.Loop, Config{Most: 400, DialTimeout: 5 * time.Second, Idle: 30 * time.Second},
+		func(p snowhall.Probed) { f.probed = append(f.probed, p) })
+	for _, e := range entries(addrs...) {
+		f.pool.Listed(e.Backend, e.Addr)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+func entries(addrs ...string) (all []membership.Entry) {
+	for i, a := range addrs {
+		all = append(all, membership.Entry{Backend: snowhall.Backend{Name: fmt.Sprint("s-", i), Weight: 1}, Addr: a})
+	}
+	return all
+}
+
+// whole gives the pool a whole list.
+func (f *rig) whole(addrs ...string) {
+	list := entries(addrs...)
+	for _, e := range list {
+		f.pool.Listed(e.Backend, e.Addr)
+	}
+	f.pool.KeepOnly(list)
+}
+
+// try makes an attempt.
+func try(t *testing.T, f *rig) *Attempt {
+	t.Helper()
+	f.events = nil
+	a := &Attempt{Backend: "s-0", At: f.Now(), Until: f.Now() + 10*time.Second, Owner: owner{f}}
+	f.pool.Send(a)
+	return a
+}
+
+func wantOutcome(t *testing.T, f *rig, want snowhall.Status) {
+	t.Helper()
+	if got := f.events; len(got) != 1 || got[0] != want {
+		t.Errorf("outcomes %+v, want one %v", got, want)
+	}
+}
+
+func TestOneOutcomeForEachSend(t *testing.T) {
+	ends := map[string]struct {
+		want snowhall.Status
+		do   func(f *rig, a *Attempt, b *peer.Peer)
+	}{
+		"cancel":  {snowhall.Cancelled, func(f *rig, a *Attempt, b *peer.Peer) { f.pool.Cancel(a) }},
+		"timeout": {snowhall.Timeout, func(f *rig, a *Attempt, b *peer.Peer) { f.RunDue(a.Until) }},
+		"reset":   {snowhall.Reset, func(f *rig, a *Attempt, b *peer.Peer) { b.NC.Close() }},
+		"gone":    {snowhall.Cancelled, func(f *rig, a *Attempt, b *peer.Peer) { f.pool.Cancel(a) }},
+		"noise":   {snowhall.Failed, func(f *rig, a *Attempt, b *peer.Peer) { b.Write("\x00\x01\x02\r\n") }},
+		"length":  {snowhall.Failed, func(f *rig, a *Attempt, b *peer.Peer) { b.Write("*1\r\n$3000000000\r\nx") }},
+		"short":   {snowhall.Failed, func(f *rig, a *Attempt, b *peer.Peer) { b.Write("*1\r\n$20\r\nx\r\n") }}, // and no more
+		"line":    {snowhall.Failed, func(f *rig, a *Attempt, b *peer.Peer) { b.Write("-OOPS\r\n") }},
+		"full":    {snowhall.Full, func(f *rig, a *Attempt, b *peer.Peer) { b.Write("-BUSY\r\n") }},
+		"served":  {snowhall.OK, func(f *rig, a *Attempt, b *peer.Peer) { b.Write("*1\r\n$1\r\nx\r\n") }},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			ln := peer.Listen(t)
+			f := idle(t, ln.Addr().String())
+			a := try(t, f)
+			b := peer.Accept(t, ln)
+			peer.Pump(t, f.Loop, func() bool { return a.conn.sent.Load() != unsent })
+			b.Message()
+			conn := a.conn
+			for conn.sent.Load() != whole {
+				time.Sleep(time.Millisecond)
+			}
+			end.do(f, a, b)
+			peer.Pump(t, f.Loop, func() bool { return a.ended })
+			wantOutcome(t, f, end.want)
+			f.pool.Cancel(a) // what comes later changes nothing
+			f.RunDue(a.Until)
+			conn.ended()
+			wantOutcome(t, f, end.want)
+			if end.want != snowhall.Full && end.want != snowhall.OK {
+				b.WantsEnd()
+			}
+		})
+	}
+}
+
+// A request whose connection is still being made when its backend drains, the attempt is called off or the client
+// leaves must not be written afterwards.
+func TestPendingDialIsNotWritten(t *testing.T) {
+	for name, end := range map[string]func(f *rig, a *Attempt){
+		"drain": func(f *rig, a *Attempt) {
+			b := entries("")[0].Backend
+			b.State = snowhall.Terminating
+			f.pool.Listed(b, f.pool.all["s-0"].addr)
+		},
+		"left out": func(f *rig, a *Attempt) { f.whole() },
+		"cancel":   func(f *rig, a *Attempt) { f.pool.Cancel(a) },
+		"gone":     func(f *rig, a *Attempt) { f.pool.Cancel(a) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln := peer.Listen(t)
+			f := idle(t, ln.Addr().String())
+			a := try(t, f)
+			b := peer.Accept(t, ln) // the connection is up, but the loop has not heard of it
+			end(f, a)
+			wantOutcome(t, f, snowhall.Moot)
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				b.WantsEnd()
+			}()
+			peer.Pump(t, f.Loop, func() bool { // whatever the dial still reports
+				select {
+				case <-ended:
+					return true
+				default:
+					return false
+				}
+			})
+		})
+	}
+}
+
+// With no socket left the connection that was idle longest makes room; with none idle the attempt is not sent.
+func TestConnectionsAreBounded(t *testing.T) {
+	first, second := peer.Listen(t), peer.Listen(t)
+	f := idle(t, first.Addr().String(), second.Addr().String())
+	f.pool.cfg.Most = 1
+	a := try(t, f)
+	p := peer.Accept(t, first)
+	peer.Pump(t, f.Loop, func() bool { return a.conn.sent.Load() != unsent })
+	p.Message()
+	other := &Attempt{Backend: "s-1", Until: a.Until, Owner: owner{f}}
+	f.pool.Send(other)
+	wantOutcome(t, f, snowhall.Moot)
+	for c := a.conn; c.sent.Load() != whole; {
+		time.Sleep(time.Millisecond)
+	}
+	p.Write("*1\r\n$1\r\nx\r\n")
+	peer.Pump(t, f.Loop, func() bool { return a.ended })
+	f.events = nil
+	f.pool.Send(&Attempt{Backend: "s-1", Until: a.Until, Owner: owner{f}})
+	p.WantsEnd()
+	peer.Accept(t, second)
+}
+
+func TestConnectFailed(t *testing.T) {
+	f := idle(t, peer.FreeAddr(t))
+	a := try(t, f)
+	peer.Pump(t, f.Loop, func() bool { return a.ended })
+	wantOutcome(t, f, snowhall.ConnectFailed)
+}
+
+// A backend that has fallen silent may be a machine that is gone: connections that were idle since then are not
+// used again. One that was started anew has none of its old ones.
+func TestSilentAndRestartedBackendsLoseIdleConnections(t *testing.T) {
+	ln := peer.Listen(t)
+	f := idle(t, ln.Addr().String())
+	b := f.pool.all["s-0"]
+	for _, end := range []func(){
+		func() { f.pool.silent(b, f.Now()) },
+		func() {
+			e := entries(b.addr)[0]
+			e.Started = 5 * time.Millisecond
+			f.pool.Listed(e.Backend, e.Addr)
+		},
+	} {
+		a := try(t, f)
+		p := peer.Accept(t, ln)
+		peer.Pump(t, f.Loop, func() bool { return a.conn.sent.Load() != unsent })
+		p.Message()
+		for c := a.conn; c.sent.Load() != whole; {
+			time.Sleep(time.Millisecond)
+		}
+		p.Write("*1\r\n$1\r\nx\r\n")
+		peer.Pump(t, f.Loop, func() bool { return len(b.idle) == 1 })
+		end()
+		if len(b.idle) != 0 || f.pool.count != 0 {
+			t.Errorf("%d idle connections, %d in all", len(b.idle), f.pool.count)
+		}
+		p.WantsEnd()
+	}
+}
+
+// inUse makes an attempt on the one connection to a backend and waits until it has come there.
+func inUse(t *testing.T, f *rig, ln net.Listener) (*Attempt, *peer.Peer) {
+	t.Helper()
+	a := try(t, f)
+	p := peer.Accept(t, ln)
+	peer.Pump(t, f.Loop, func() bool { return a.conn.sent.Load() == whole })
+	p.Message()
+	return a, p
+}
+
+// What comes on a connection while nothing is asked must not stand before the next answer, nor a whole second
+// copy be taken for it: the connection is not used again, whether its reader has seen it or not.
+func TestLateSurplusSpoilsTheConnection(t *testing.T) {
+	for _, surplus := range []string{"*1\r\n$5\r\nstray\r\n", "*1\r\n$5\r\nst", "x"} {
+		ln := peer.Listen(t)
+		f := idle(t, ln.Addr().String())
+		a, p := inUse(t, f, ln)
+		p.Write("*1\r\n$1\r\nx\r\n")
+		peer.Pump(t, f.Loop, func() bool { return a.ended })
+		c := f.pool.all["s-0"].idle[0]
+		p.Write(surplus)
+		peer.Pump(t, f.Loop, func() bool { return c.closed })
+		p.WantsEnd()
+		if !c.spoilt.Load() || len(f.pool.all["s-0"].idle) != 0 {
+			t.Errorf("%q: the connection is kept", surplus)
+		}
+	}
+}
+
+// Before an idle connection is used the socket itself is asked, as its reader may not have run since.
+func TestQuiet(t *testing.T) {
+	ln := peer.Listen(t)
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	p := peer.Accept(t, ln)
+	if !sock.Quiet(nc) {
+		t.Error("nothing has come, and it is not quiet")
+	}
+	p.Write("x")
+	for end := time.Now().Add(peer.Patient); sock.Quiet(nc); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("what has come is not seen")
+		}
+	}
+}
+
+// A connection that was busy when its backend moved leads to the old process: it ends with its answer.
+func TestBusyConnectionOfAnOldAddressIsNotKept(t *testing.T) {
+	ln, next := peer.Listen(t), peer.Listen(t)
+	f := idle(t, ln.Addr().String())
+	a, p := inUse(t, f, ln)
+	f.whole(next.Addr().String())
+	p.Write("*1\r\n$1\r\nx\r\n")
+	peer.Pump(t, f.Loop, func() bool { return a.ended })
+	wantOutcome(t, f, snowhall.OK)
+	p.WantsEnd()
+	f.events = nil
+	a = try(t, f)
+	dialling := a.conn
+	f.whole(ln.Addr().String()) // it moves while it is being dialled
+	wantOutcome(t, f, snowhall.Moot)
+	if !dialling.closed {
+		t.Error("the dial to the old address goes on")
+	}
+}
+
+// A backend that is gone must be forgotten with its last attempt, however that ends.
+func TestGoneBackendIsForgotten(t *testing.T) {
+	ln := peer.Listen(t)
+	f := idle(t, ln.Addr().String())
+	a, _ := inUse(t, f, ln)
+	f.whole()
+	f.RunDue(a.Until)
+	wantOutcome(t, f, snowhall.Timeout)
+	if len(f.pool.all) != 0 || f.pool.count != 0 {
+		t.Errorf("%d backends and %d connections are kept", len(f.pool.all), f.pool.count)
+	}
+}
+
+// Probes end once, whatever comes back.
+func TestProbe(t *testing.T) {
+	ln := peer.Listen(t)
+	f := idle(t, ln.Addr().String())
+	for text, want := range map[string]snowhall.Status{"+PONG\r\n": snowhall.OK, "-ERR no\r\n": snowhall.Failed} {
+		f.probed = nil
+		f.pool.Probe("s-0")
+		p := peer.Accept(t, ln)
+		peer.Pump(t, f.Loop, func() bool { return f.pool.count == 1 && f.pool.dialled("s-0") })
+		if m := p.Message(); m[0] != "PING" {
+			t.Fatalf("got %q", m)
+		}
+		p.Write(text)
+		peer.Pump(t, f.Loop, func() bool { return len(f.probed) > 0 })
+		if got := f.probed[0]; got.Status != want {
+			t.Errorf("%q: %+v", text, got)
+		}
+	}
+}
+
+func (bs *Pool) dialled(name string) bool {
+	for c := range bs.all[name].conns {
+		if c.nc == nil {
+			return false
+		}
+	}
+	return true
+}
