Module: grants, requests for leave whose work is done by no backend

Forward authentication asks whether a request may pass to a service that this door does not send to. A grant waits for nothing but the counter's answer, counts as sent on, and holds an at-once place until its end or its hold. A request beyond a soft quota no longer passes a full at-once cap.

--- a/api.go
+++ b/api.go
@@ -139,6 +139,13 @@
 	Units    float64       // units it takes from the quota
 	Doors    int           // doors through which this customer's requests come; 0: all
 	Retry    bool          // a client's repeat, where clients mark it
+
+	// Grant says that only leave is asked for: the work is done elsewhere, by no backend of this door. The final
+	// answer is a Grant or a Refuse; a Grant counts as sent on.
+	Grant bool
+	// Hold is how long a granted request then counts as under way, where the plan has AtOnce, unless a Gone ends
+	// it sooner.
+	Hold time.Duration
 }
 
 // Outcome ends one attempt. Every Send gets exactly one.
@@ -159,7 +166,7 @@
 	Attempt int
 }
 
-// Gone ends a request whose client has left.
+// Gone ends a request whose client has left, or a granted one whose work is done.
 type Gone struct{ ID uint64 }
 
 // Counted answers one Count.
@@ -216,6 +223,9 @@
 // Fail is the final answer: failed, with no promise about its effect.
 type Fail struct{ ID uint64 }
 
+// Grant is the final answer to a Request with Grant set: its work may be done.
+type Grant struct{ ID uint64 }
+
 // Cancel stops waiting for an attempt, whose Outcome still comes.
 type Cancel struct {
 	ID      uint64
@@ -250,6 +260,7 @@
 func (Send) action()     {}
 func (Refuse) action()   {}
 func (Fail) action()     {}
+func (Grant) action()    {}
 func (Cancel) action()   {}
 func (Probe) action()    {}
 func (Count) action()    {}
--- a/door.go
+++ b/door.go
@@ -114,7 +114,7 @@
 	}
 	cl := &d.set.Classes[ev.Class]
 	r := &request{id: ev.ID, class: ev.Class, plan: ev.Plan, units: max(0, ev.Units), at: d.now, tau: ev.Left,
-		retry: ev.Retry}
+		retry: ev.Retry, grant: ev.Grant, hold: ev.Hold}
 	if cl.LateWorth == 0 && cl.Aim > 0 {
 		r.tau = min(r.tau, cl.Aim)
 	}
@@ -129,47 +129,91 @@
 		d.refuse(r, 0)
 		return
 	}
-	d.act(SetTimer{d.now + r.tau - d.set.Resolution, r.id<<1 | 1})
+	if !r.grant { // a grant is given or refused now, but for the counter's answer
+		d.act(SetTimer{d.now + r.tau - d.set.Resolution, r.id<<1 | 1})
+	}
 	r.c.usedAt = d.now
 	gap := (d.now - r.c.demandAt).Seconds() / demandOver.Seconds()
 	r.c.demand = r.c.demand*math.Exp(-gap) + r.units/demandOver.Seconds()
 	r.c.demandAt = d.now
 	// A line for the ceiling must stay short, or each that still goes out of it is nearly late; and what is
-	// worth less leaves the room to what is worth more.
-	if fills := d.ceilingFills(r); fills > r.tau.Seconds()*ceilWait*cl.Worth/d.bestWorth {
+	// worth less leaves the room to what is worth more. What asks for leave only has no line to join.
+	line := r.tau.Seconds() * ceilWait * cl.Worth / d.bestWorth
+	if r.grant {
+		line = 0
+	}
+	if fills := d.ceilingFills(r); fills > line {
 		d.refuse(r, time.Duration(fills*float64(time.Second)))
 		return
 	}
+	if r.grant {
+		if v := d.pay(r); v != wait {
+			d.settle(r, v)
+			return
+		}
+	}
 	r.c.waiting = append(r.c.waiting, r)
+	if r.grant {
+		r.c.grants++
+		d.act(SetTimer{d.now + r.tau - d.set.Resolution, r.id<<1 | 1})
+	}
 	d.serve(r.c)
 }
 
+// settle carries a verdict out. The request must have left its customer's line: this may serve others of it.
+func (d *Door) settle(r *request, v verdict) {
+	if v == beyond {
+		d.beyond(r)
+	} else {
+		d.place(r)
+	}
+}
+
 // serve decides for a customer's requests in the order they came, until one has to wait: for the counter's
 // answer, for one of the customer's attempts to end, or for the ceiling's share to fill.
 func (d *Door) serve(c *customer) {
 	for len(c.waiting) > 0 {
 		r := c.waiting[0]
 		if r.ended {
-			c.waiting = c.waiting[1:]
+			c.shift(r)
 			continue
 		}
 		v := d.pay(r)
 		if v == wait {
 			break
 		}
-		c.waiting = c.waiting[1:]
-		if v == beyond {
-			d.beyond(r)
-		} else {
-			d.place(r)
-		}
+		c.shift(r)
+		d.settle(r, v)
 	}
+	d.serveGrants(c)
 	if len(c.waiting) > 0 && !c.listed {
 		c.listed = true
 		d.waiters = append(d.waiters, c)
 	}
 }
 
+// serveGrants decides for what asks for leave only, past those that wait for the ceiling's share or for an
+// attempt to end: it waits for nothing but the counter (ours: a proxy's own client is held up by it).
+func (d *Door) serveGrants(c *customer) {
+	for i := 0; i < len(c.waiting) && c.grants > 0; i++ {
+		r := c.waiting[i]
+		if !r.grant {
+			continue
+		}
+		v := wait
+		if !r.ended {
+			if v = d.pay(r); v == wait {
+				continue
+			}
+		}
+		c.waiting = slices.Delete(c.waiting, i, i+1)
+		c.grants--
+		if i = -1; !r.ended { // this may serve others, so the line is looked at anew
+			d.settle(r, v)
+		}
+	}
+}
+
 // pay promotes a request whose units are in the local tokens (stage 2 of the paper). A request without quota
 // keeps its level by worth.
 func (d *Door) pay(r *request) verdict {
@@ -178,7 +222,7 @@
 	full := p.AtOnce > 0 && c.live >= d.atOnce(r, p)
 	if short := r.units + c.ceilQueued - d.ceiling(c, p); full || short > 0 {
 		fills := short * c.doors / p.CeilingRate // seconds
-		if late || !full && p.OverWorth > p.OverCost && fills > r.tau.Seconds()*ceilWait {
+		if late || r.grant || !full && p.OverWorth > p.OverCost && fills > r.tau.Seconds()*ceilWait {
 			return beyond
 		}
 		return wait
@@ -217,11 +261,15 @@
 // beyond decides for a request that no tokens pay.
 func (d *Door) beyond(r *request) {
 	p := &d.set.Plans[r.plan]
-	if p.OverWorth <= p.OverCost || d.ceiling(r.c, p)-r.c.ceilQueued < r.units {
+	full := p.AtOnce > 0 && r.c.live >= d.atOnce(r, p)
+	if p.OverWorth <= p.OverCost || full || d.ceiling(r.c, p)-r.c.ceilQueued < r.units {
 		d.refuse(r, d.refill(r.c, p, r.units))
 		return
 	}
-	r.level = lowest
+	if r.level = lowest; p.AtOnce > 0 {
+		r.live = true
+		r.c.live++
+	}
 	d.hold(r)
 	d.place(r)
 }
@@ -355,6 +403,9 @@
 
 // latency is the time an answer takes, by recent ones: the class's mean times the server's slowness.
 func (d *Door) latency(r *request, s *server) float64 {
+	if r.grant {
+		return 0
+	}
 	if s != nil {
 		return d.base[r.class] * s.slow
 	}
@@ -411,6 +462,10 @@
 
 // place queues a request at a server and releases what may go.
 func (d *Door) place(r *request) {
+	if r.grant {
+		d.allow(r)
+		return
+	}
 	if t := d.trialServer(r); t != nil {
 		d.send(r, t, true)
 		return
@@ -428,6 +483,25 @@
 	d.fill(s)
 }
 
+// allow is the one place that grants. It counts as sent on: the ceiling's units are spent here, and the cap
+// on what is open at once holds until the work is said to be done, or the hold runs out.
+func (d *Door) allow(r *request) {
+	p := &d.set.Plans[r.plan]
+	if d.ceiling(r.c, p) < r.units || d.now >= r.at+r.tau {
+		d.refuse(r, d.refill(r.c, p, r.units))
+		return
+	}
+	r.c.ceil -= r.units
+	d.release(r)
+	r.granted, r.holdUntil = true, d.now+r.hold
+	d.act(Grant{r.id})
+	if !r.live || r.hold <= 0 {
+		d.end(r)
+		return
+	}
+	d.act(SetTimer{r.holdUntil, r.id<<1 | 1})
+}
+
 // hopeless is EQ 4 seen from the back of the queue: what would come to wait for most of its time is refused
 // while the client can still try again in time (a departure: the paper lets it wait until it is stale; under
 // overload every answer then comes at the last moment, and each client's next try too late).
@@ -716,7 +790,7 @@
 			d.act(Cancel{r.id, a.no})
 		}
 	}
-	if len(r.attempts) == 0 && r.paid && d.set.Plans[r.plan].Rate > 0 {
+	if len(r.attempts) == 0 && !r.granted && r.paid && d.set.Plans[r.plan].Rate > 0 {
 		r.c.tokens += r.units
 	}
 	if r.live {
--- /dev/null
+++ b/grant_test.go
@@ -0,0 +1,231 @@
+package snowhall
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func leave(id uint64, plan int) Request {
+	r := ask(id, 0, plan)
+	r.Grant = true
+	return r
+}
+
+// A request for leave is answered by the module alone: no backend, no probe, and its units are drawn as those of
+// a request that is sent on.
+func TestGrantSpendsTheQuota(t *testing.T) {
+	set := basic()
+	set.Doors, set.Counter = 1, false
+	d := open(t, set) // not one backend
+	granted, refused := 0, 0
+	for i := range 30 {
+		acts := d.Step(ms, []Event{leave(uint64(i), 0)})
+		granted += len(only[Grant](acts))
+		refused += len(only[Refuse](acts))
+		if len(only[Send](acts)) > 0 {
+			t.Fatal("something was sent")
+		}
+		if r := only[Refuse](acts); len(r) > 0 && r[0].Pause <= 0 {
+			t.Errorf("a refusal that does not say when to come back")
+		}
+	}
+	if granted != 8 || refused != 22 {
+		t.Errorf("%d granted and %d refused of a burst of 8", granted, refused)
+	}
+	if q, ok := d.Quota("c"); !ok || q.Left >= 1 || q.Full < 3*time.Second {
+		t.Errorf("quota %+v, %v", q, ok)
+	}
+	if len(d.reqs) != 0 {
+		t.Errorf("%d requests are kept", len(d.reqs))
+	}
+	if acts := d.Step(time.Second, []Event{leave(99, 0)}); len(only[Grant](acts)) != 1 {
+		t.Error("the store has filled, and nothing is granted")
+	}
+}
+
+// One customer's requests and requests for leave, mixed as they come, draw on one ceiling over all doors: in every
+// window no more goes on than its rate and depth allow.
+func TestGrantsAndSendsShareTheCeiling(t *testing.T) {
+	const doors = 3
+	for _, share := range []float64{0, 0.5, 1} { // of requests for leave
+		set := basic()
+		set.Doors, set.Counter = doors, false
+		set.Plans[1].OverCost = 0 // beyond the quota it still earns
+		rng := rand.New(rand.NewPCG(3, uint64(share*10)))
+		all := make([]*Door, doors)
+		sends := make([]map[uint64]int, doors)
+		for i := range all {
+			all[i], sends[i] = open(t, set, backends(6)...), map[uint64]int{}
+		}
+		var went []time.Duration
+		for tick := range 6000 { // 30 s at 200 a second, ten times the ceiling
+			now := time.Duration(tick) * 5 * ms
+			i := rng.IntN(doors)
+			r := ask(uint64(tick), 0, 1)
+			r.Grant = rng.Float64() < share
+			todo := all[i].Step(now, []Event{r, Timer{0}})
+			for len(todo) > 0 {
+				var evs []Event
+				for _, a := range todo {
+					switch a := a.(type) {
+					case Grant:
+						went = append(went, now)
+					case Send:
+						if sends[i][a.ID] == 0 {
+							went = append(went, now)
+						}
+						evs = append(evs, served(a, sends[i][a.ID], 20*ms))
+						sends[i][a.ID]++
+					}
+				}
+				todo = nil
+				if len(evs) > 0 {
+					todo = append(todo, all[i].Step(now, evs)...)
+				}
+			}
+		}
+		p := set.Plans[1]
+		for i, from := range went {
+			for j := i; j < len(went); j += 7 {
+				if most := p.CeilingDepth + p.CeilingRate*(went[j]-from).Seconds() + 1; float64(j-i+1) > most {
+					t.Fatalf("share %v: %d went on within %v; the ceiling is %.0f", share, j-i+1, went[j]-from, most)
+				}
+			}
+		}
+		if float64(len(went)) < 0.8*p.CeilingRate*30 {
+			t.Errorf("share %v: only %d went on", share, len(went))
+		}
+	}
+}
+
+// What asks for leave waits behind nothing but the counter: not for the ceiling's share to fill, and not for a place
+// under the cap on what is open at once.
+func TestGrantJoinsNoLine(t *testing.T) {
+	set := basic()
+	set.Counter, set.Doors = false, 1
+	set.Plans[1].CeilingDepth = 2
+	set.Plans[1].OverCost = 0
+	d := open(t, set, backends(2)...)
+	now := time.Second
+	for i := range 12 { // fills the line for the ceiling
+		d.Step(now, []Event{ask(uint64(i), 1, 1)})
+	}
+	if len(d.customers["c"].waiting) == 0 {
+		t.Fatal("no line")
+	}
+	if acts := d.Step(now, []Event{leave(50, 1)}); len(only[Refuse](acts)) != 1 {
+		t.Errorf("behind the line for the ceiling: %v", acts)
+	}
+	d = open(t, set, backends(2)...)
+	for i := range 8 { // the cap is 4
+		r := ask(uint64(i), 0, 3)
+		d.Step(now, []Event{r})
+	}
+	if len(d.customers["c"].waiting) == 0 {
+		t.Fatal("no line")
+	}
+	acts := d.Step(now, []Event{leave(50, 3)})
+	if r := only[Refuse](acts); len(r) != 1 || r[0].Pause <= 0 {
+		t.Errorf("behind the line for the cap: %v", acts)
+	}
+}
+
+// A granted request counts under the cap on what is open at once until its work is said to be done, or its hold has
+// run out; then what waited for the place is served.
+func TestGrantHoldsItsPlace(t *testing.T) {
+	set := basic()
+	set.Counter, set.Doors = false, 1
+	d := open(t, set, backends(2)...)
+	var timers []SetTimer
+	for i := range 4 {
+		r := leave(uint64(i+1), 3)
+		r.Hold = time.Duration(i+1) * 100 * ms
+		acts := d.Step(ms, []Event{r})
+		if len(only[Grant](acts)) != 1 {
+			t.Fatalf("number %d: %v", i, acts)
+		}
+		timers = append(timers, only[SetTimer](acts)...)
+	}
+	full := func(now time.Duration, id uint64) bool {
+		r := leave(id, 3)
+		r.Hold = time.Hour
+		return len(only[Refuse](d.Step(now, []Event{r}))) == 1
+	}
+	if !full(2*ms, 10) {
+		t.Error("a fifth is granted")
+	}
+	d.Step(3*ms, []Event{Gone{ID: 4}, Gone{ID: 4}}) // done, told twice
+	if full(4*ms, 11) {
+		t.Error("a place has become free, and nothing is granted")
+	}
+	if !full(5*ms, 12) {
+		t.Error("one end has freed two places")
+	}
+	d.Step(6*ms, []Event{ask(20, 0, 3)}) // waits for a place
+	if len(timers) != 4 {
+		t.Fatalf("timers %v", timers)
+	}
+	d.Step(50*ms, []Event{Timer{timers[0].Cookie}}) // too early
+	if d.customers["c"].live != 4 {
+		t.Error("the hold ended before its time")
+	}
+	acts := d.Step(timers[0].At, []Event{Timer{timers[0].Cookie}})
+	if len(only[Send](acts)) != 1 {
+		t.Errorf("the hold has run out, and what waits is not sent: %v", acts)
+	}
+}
+
+// What asks for leave waits for the counter's answer, and no longer than its own time if that never comes.
+func TestGrantWaitsForTheCounter(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		d := open(t, basic(), backends(2)...)
+		var acts []Action
+		var calls []Count
+		for id := uint64(1); len(calls) == 0 && id < 20; id++ { // until this door's own share is spent
+			r := leave(id, 0)
+			r.Left = 200 * ms
+			acts = d.Step(ms, []Event{r})
+			calls = only[Count](acts)
+		}
+		if len(calls) != 1 || len(only[Grant](acts)) != 0 {
+			t.Fatalf("no share is left: %v", acts)
+		}
+		var cookie Timer
+		for _, s := range only[SetTimer](acts) {
+			cookie = Timer{s.Cookie}
+		}
+		now := 20 * ms
+		if late {
+			now = 300 * ms
+			if acts = d.Step(ms+200*ms, []Event{cookie}); len(only[Refuse](acts)) != 1 {
+				t.Errorf("its time is up: %v", acts)
+			}
+		}
+		acts = d.Step(now, []Event{Counted{calls[0].Name, OK, calls[0].Amount}})
+		if n := len(only[Grant](acts)); !late && n != 1 || late && n != 0 {
+			t.Errorf("late %v: %d granted", late, n)
+		}
+	}
+}
+
+// Customers' grants do not hang on one another: one that floods takes nothing from another, whose leave comes at
+// once.
+func TestGrantOfAQuietCustomer(t *testing.T) {
+	set := basic()
+	set.Counter, set.Doors = false, 1
+	d := open(t, set, backends(2)...)
+	for i := range 2000 {
+		r := leave(uint64(i), 1)
+		r.Customer = "loud"
+		d.Step(time.Duration(i)*ms, []Event{r})
+		if i%400 == 0 {
+			q := leave(uint64(1e6+i), 0)
+			q.Customer = fmt.Sprint("quiet", i%800)
+			if acts := d.Step(time.Duration(i)*ms, []Event{q}); len(only[Grant](acts)) != 1 {
+				t.Fatalf("at %d: %v", i, acts)
+			}
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -240,6 +240,8 @@
 		c.answer(c.requests[a.ID], Answer{Verdict: Refused, Pause: a.Pause})
 	case snowhall.Fail:
 		c.answer(c.requests[a.ID], Answer{Verdict: Failed})
+	case snowhall.Grant:
+		c.grant(c.requests[a.ID])
 	case snowhall.Probe:
 		c.upstream.Probe(a.Backend)
 	case snowhall.Count:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -111,3 +111,23 @@
 		t.Errorf("%d sent, answers %v", len(s.sent), who.answers)
 	}
 }
+
+// Leave is given without any side, a second end changes nothing, and the answer tells of the quota.
+func TestGrant(t *testing.T) {
+	c, s := idle(t)
+	c.Listed(membership.Update{Scope: snowhall.Cached})
+	c.Step() // as Run does first
+	who := &caller{}
+	r := &Request{Caller: who, Customer: "a", At: c.Now(), Wait: time.Second, Units: 1, Grant: true, Hold: time.Hour}
+	c.Submit(r)
+	c.Step()
+	if len(who.answers) != 1 || who.answers[0].Verdict != Granted || len(s.sent) != 0 || len(c.requests) != 0 {
+		t.Fatalf("answers %+v, %d sent", who.answers, len(s.sent))
+	}
+	c.Finish(r)
+	c.Finish(r)
+	c.Step()
+	if len(who.answers) != 1 {
+		t.Errorf("answers %+v", who.answers)
+	}
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -17,6 +17,7 @@
 	Failed                   // it may have had an effect
 	Overdue                  // no decision came in time; as Failed
 	Duplicate                // its id is that of another open request; nothing was done
+	Granted                  // leave for work that is done elsewhere
 )
 
 // Answer is a request's final answer.
@@ -24,6 +25,13 @@
 	Verdict Verdict
 	Value   []byte        // with Served: the value as a RESP2 bulk string
 	Pause   time.Duration // with Refused: how long to stay away; 0: no advice
+	Quota   Quota         // with Granted, and with Refused of a request with Grant
+}
+
+// Quota is how the customer stands with its plan's quota.
+type Quota struct {
+	snowhall.Quota
+	Told bool // else there is no such quota, or nothing is known
 }
 
 // Caller is what a request came from. The loop goroutine calls it, so it must not wait.
@@ -46,6 +54,8 @@
 	Units       float64       // that it takes from the quota
 	Doors       int           // doors through which the customer's requests come; 0: all
 	Retry       bool          // a client's repeat, where clients mark it
+	Grant       bool          // it asks for leave only: Forward is never called, and the answer is Granted or Refused
+	Hold        time.Duration // how long a grant counts as under way where the plan bounds that, without Finish
 
 	id       uint64
 	due      time.Duration // when the client gives up
@@ -101,7 +111,7 @@
 		r.Caller.Answer(Answer{Verdict: Overdue})
 	})
 	c.Tell(snowhall.Request{ID: r.id, Class: r.Class, Plan: r.Plan, Customer: r.Customer,
-		Left: max(0, r.due-c.Now()), Units: r.Units, Doors: r.Doors, Retry: r.Retry})
+		Left: max(0, r.due-c.Now()), Units: r.Units, Doors: r.Doors, Retry: r.Retry, Grant: r.Grant, Hold: r.Hold})
 }
 
 // Gone ends the request of a client that has left. Only the loop goroutine may call it.
@@ -112,11 +122,25 @@
 	}
 }
 
+// Finish says that the work for which a request was granted is over, so that another may have its place. One that was not
+// granted, or whose hold has run out, is passed over. Only the loop goroutine may call it.
+func (c *Core) Finish(r *Request) {
+	if r.Grant && r.ended {
+		c.Tell(snowhall.Gone{ID: r.id})
+	}
+}
+
+// grant gives a request the leave that it asked for.
+func (c *Core) grant(r *Request) { c.answer(r, Answer{Verdict: Granted}) }
+
 // answer gives a request its final answer, once.
 func (c *Core) answer(r *Request, a Answer) {
 	if r == nil || r.ended {
 		return
 	}
+	if r.Grant {
+		a.Quota.Quota, a.Quota.Told = c.door.Quota(r.Customer)
+	}
 	c.leave(r)
 	r.Caller.Answer(a)
 }
--- a/state.go
+++ b/state.go
@@ -64,6 +64,9 @@
 	retry       bool // the client's repeat
 	unsure      bool // on credit: neither paid by the lease nor looked up
 	asked       bool // has called the counter
+
+	grant, granted  bool // wants leave only; has got it
+	hold, holdUntil time.Duration
 }
 
 type customer struct {
@@ -86,6 +89,7 @@
 	ceilQueued       float64
 	live             int
 	waiting          []*request
+	grants           int           // of them, those that want leave only
 	listed           bool          // in Door.waiters
 	emptyUntil       time.Duration // the store was seen empty: not asked before then
 }
@@ -277,6 +281,37 @@
 	}
 }
 
+// shift takes a request out of the head of its customer's line.
+func (c *customer) shift(r *request) {
+	c.waiting[0] = nil
+	c.waiting = c.waiting[1:]
+	if r.grant {
+		c.grants--
+	}
+}
+
+// Quota is how a customer stands with its quota, by what this door knows.
+type Quota struct {
+	Left  float64       // units that its store holds now
+	Full  time.Duration // until the store is full again if nothing is taken
+	Known bool          // the counter has told of the store; else only this door's share is
+}
+
+// Quota tells how a customer stands. The second result says whether the door knows the customer.
+func (d *Door) Quota(name string) (Quota, bool) {
+	c := d.customers[name]
+	if c == nil || d.set.Plans[c.plan].Rate <= 0 {
+		return Quota{}, false
+	}
+	p := &d.set.Plans[c.plan]
+	left := c.spare
+	if c.known {
+		left = d.level(c, p) + c.tokens
+	}
+	left = min(p.Burst, max(0, left))
+	return Quota{left, time.Duration((p.Burst - left) / p.Rate * float64(time.Second)), c.known}, true
+}
+
 // release gives back what a request holds while it is queued.
 func (d *Door) release(r *request) {
 	if r.ceilHeld {
@@ -407,7 +442,11 @@
 	} else if cookie == 2 {
 		d.listAsked = false
 		d.act(Watch{})
-	} else if r := d.reqs[cookie>>1]; r != nil && !r.stream {
+	} else if r := d.reqs[cookie>>1]; r != nil && r.granted {
+		if d.now >= r.holdUntil {
+			d.end(r)
+		}
+	} else if r != nil && !r.stream {
 		d.refuse(r, 0)
 	}
 }
