gapgapd: several listeners on one core, a strictly checked file, the forward-auth front

Customers put the front door behind web proxies that ask over HTTP. The front reads checks in four dialects, finds account, class and units by the table, asks the core for leave and writes the dialect's answer. A configuration's fault is told with file, line and key.

--- /dev/null
+++ b/internal/front/authz/front.go
@@ -0,0 +1,232 @@
+package authz
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"snowhall/internal/budget"
+	"snowhall/internal/core"
+)
+
+const (
+	askCost     = 3 << 10                // bytes of a check beside its headers
+	answerGrace = 100 * time.Millisecond // beyond a check's time, for the core's own last answer
+)
+
+// Front answers checks on one listener.
+type Front struct {
+	core    *core.Core
+	s       *Shared
+	cfg     Config
+	log     *slog.Logger
+	ln      net.Listener
+	tls     *tls.Config
+	srv     *http.Server
+	timers  sync.Pool
+	drained chan struct{} // closed when a shutdown is complete; nil: none has begun
+}
+
+// New makes a front on a listener, which it closes. With a TLS configuration it speaks TLS, else plain HTTP/1.1 and
+// HTTP/2 (with prior knowledge, RFC 9113, 3.3). The Config must have passed its Check.
+func New(s *Shared, cfg Config, ln net.Listener, tlsConfig *tls.Config, log *slog.Logger) *Front {
+	fr := &Front{core: s.core, s: s, cfg: cfg, log: log.With("listener", cfg.Name), ln: ln, tls: tlsConfig}
+	fr.timers.New = func() any { return time.NewTimer(time.Hour) }
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(tlsConfig != nil)
+	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
+	fr.srv = &http.Server{Handler: fr, TLSConfig: tlsConfig, Protocols: protocols,
+		ReadHeaderTimeout: cfg.HeaderTimeout, ReadTimeout: 2 * cfg.HeaderTimeout, WriteTimeout: 0,
+		IdleTimeout: cfg.IdleTimeout, MaxHeaderBytes: cfg.MaxHeaderBytes,
+		HTTP2:    &http.HTTP2Config{MaxConcurrentStreams: cfg.MaxStreams},
+		ErrorLog: slog.NewLogLogger(fr.log.Handler(), slog.LevelDebug),
+		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, own(nc))
+		}}
+	return fr
+}
+
+type connKey struct{}
+
+// own finds our connection under net/http's.
+func own(nc net.Conn) *conn {
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+	}
+	c, _ := nc.(*conn)
+	return c
+}
+
+// Addr is where the front listens.
+func (fr *Front) Addr() net.Addr { return fr.ln.Addr() }
+
+// Serve implements [core.Front].
+func (fr *Front) Serve() {
+	l := &listener{Listener: fr.ln, fr: fr}
+	if fr.tls != nil {
+		go fr.srv.ServeTLS(l, "", "")
+		return
+	}
+	l.full = []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	go fr.srv.Serve(l)
+}
+
+// CloseListeners implements [core.Front].
+func (fr *Front) CloseListeners() { fr.ln.Close() }
+
+// Drain implements [core.Front]: connections between two checks are closed, the others with their last answer.
+func (fr *Front) Drain() bool {
+	if fr.drained == nil {
+		fr.drained = make(chan struct{})
+		go func() {
+			defer close(fr.drained)
+			fr.srv.Shutdown(context.Background())
+		}()
+	}
+	for _, c := range budget.Of[*conn](fr.core.Conns) {
+		if c.fr == fr {
+			c.GiveWay() // those on which nothing whole was asked: net/http would wait for them
+		}
+	}
+	select {
+	case <-fr.drained:
+		return true
+	default:
+		return false
+	}
+}
+
+// Close ends everything at once.
+func (fr *Front) Close() { fr.srv.Close() }
+
+// mayAsk says whether a request comes from a proxy that is listed.
+func (fr *Front) mayAsk(c *conn, r *http.Request) bool {
+	if c.trusted {
+		return true
+	}
+	if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
+		return false
+	}
+	cert := r.TLS.VerifiedChains[0][0]
+	for _, name := range fr.cfg.TrustedCertificates {
+		if cert.Subject.CommonName == name || slices.Contains(cert.DNSNames, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// ServeHTTP implements [http.Handler].
+func (fr *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	if c == nil {
+		http.Error(w, "no connection", http.StatusInternalServerError)
+		return
+	}
+	c.open.Add(1)
+	c.spoken.Store(true)
+	defer c.open.Add(-1)
+	rt, target := fr.route(r)
+	a := answer{w: w, fr: fr, rt: rt}
+	if !fr.mayAsk(c, r) {
+		fr.s.Figures.Untrusted.Add(1)
+		a.problem(http.StatusForbidden, "untrusted", "This address is not one that may ask.")
+		return
+	}
+	cost, n := int64(askCost), 0
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			cost += int64(len(k) + len(v))
+			n++
+		}
+	}
+	if n > fr.cfg.MaxHeaders {
+		fr.s.Figures.TooLarge.Add(1)
+		a.problem(http.StatusRequestHeaderFieldsTooLarge, "headers", "There are more header fields than are read here.")
+		return
+	}
+	if !fr.core.Memory.Take(cost) {
+		fr.s.Figures.NoRoom.Add(1)
+		a.undecided("memory")
+		return
+	}
+	defer fr.core.Memory.Give(cost)
+	if !fr.discard(r) {
+		fr.s.Figures.TooLarge.Add(1)
+		w.Header().Set("Connection", "close")
+		a.problem(http.StatusRequestEntityTooLarge, "body", "The body is longer than is read here.")
+		return
+	}
+	if fr.cfg.EndPath != "" && r.URL.Path == fr.cfg.EndPath {
+		fr.end(a, r)
+		return
+	}
+	if rt == nil {
+		fr.s.Figures.Bad.Add(1)
+		a.problem(http.StatusNotFound, "path", "No check is asked at this path.")
+		return
+	}
+	fr.check(a, r, target)
+}
+
+// end takes an end call.
+func (fr *Front) end(a answer, r *http.Request) {
+	if r.Method != http.MethodPost {
+		a.w.Header().Set("Allow", http.MethodPost)
+		a.problem(http.StatusMethodNotAllowed, "method", "An end is told with POST.")
+		return
+	}
+	id, found := r.URL.Query().Get("id"), make(chan bool, 1)
+	if !fr.post(func() { found <- fr.s.end(id) }, answerGrace) {
+		a.problem(http.StatusServiceUnavailable, "undecided", "The core does not answer.")
+		return
+	}
+	select {
+	case ok := <-found:
+		if !ok {
+			a.problem(http.StatusNotFound, "id", "No grant of that id is held.")
+			return
+		}
+		a.w.WriteHeader(http.StatusNoContent)
+	case <-fr.core.Done():
+		a.problem(http.StatusServiceUnavailable, "undecided", "The core has ended.")
+	}
+}
+
+// post hands the loop a task, unless it takes none for so long.
+func (fr *Front) post(task func(), within time.Duration) bool {
+	t := fr.timers.Get().(*time.Timer)
+	t.Reset(within)
+	defer fr.timers.Put(t)
+	defer t.Stop()
+	return fr.core.PostUntil(task, t.C)
+}
+
+// decide asks the core. false: it gave no answer in time.
+func (fr *Front) decide(c *check) (outcome, bool) {
+	t := fr.timers.Get().(*time.Timer)
+	t.Reset(c.Wait + answerGrace)
+	defer fr.timers.Put(t)
+	defer t.Stop()
+	if !fr.core.PostUntil(func() { fr.s.arrived(c) }, t.C) {
+		return outcome{}, false
+	}
+	select {
+	case o := <-c.done:
+		return o, true
+	case <-t.C:
+	case <-fr.core.Done():
+		select { // it may have been the last one answered
+		case o := <-c.done:
+			return o, true
+		default:
+		}
+	}
+	return outcome{}, false
+}
--- /dev/null
+++ b/internal/front/authz/shared.go
@@ -0,0 +1,224 @@
+package authz
+
+import (
+	"container/heap"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"snowhall/internal/account"
+	"snowhall/internal/core"
+	"snowhall/internal/verdict"
+)
+
+// refusedKeep is for how long a refusal is told to repeats at least: a proxy's second try comes at once, and a client
+// that heeds the pause comes after it with a check that is decided anew.
+const refusedKeep = 250 * time.Millisecond
+
+// SharedConfig bounds what all listeners of a process share.
+type SharedConfig struct {
+	Memory    verdict.Config
+	MostHolds int // granted requests whose end is awaited
+}
+
+// Shared is what all listeners of a process have together: the memory of verdicts, so that a check asked again by
+// another way is known, and the grants whose end is awaited. The loop goroutine owns all but the table and figures.
+type Shared struct {
+	core    *core.Core
+	log     *slog.Logger
+	table   atomic.Pointer[account.Table]
+	memory  *verdict.Memory[outcome, *check]
+	holds   holds
+	prefix  string // of request ids
+	lastID  uint64
+	Figures Figures
+}
+
+// Figures count what the listeners did. Any goroutine may read them.
+type Figures struct {
+	Allowed, Refused, Unauthenticated, Forbidden atomic.Uint64
+	UndecidedAllowed, UndecidedDenied            atomic.Uint64
+	Untrusted, Bad, TooLarge, NoRoom             atomic.Uint64
+	Repeated, Unwatched, Ended, HoldsLost        atomic.Uint64
+}
+
+// LogValue implements [slog.LogValuer].
+func (f *Figures) LogValue() slog.Value {
+	n := func(name string, v *atomic.Uint64) slog.Attr { return slog.Uint64(name, v.Load()) }
+	return slog.GroupValue(n("allowed", &f.Allowed), n("refused", &f.Refused), n("unauthenticated", &f.Unauthenticated),
+		n("forbidden", &f.Forbidden), n("undecided_allowed", &f.UndecidedAllowed),
+		n("undecided_denied", &f.UndecidedDenied), n("untrusted", &f.Untrusted), n("bad", &f.Bad),
+		n("too_large", &f.TooLarge), n("no_room", &f.NoRoom), n("repeated", &f.Repeated), n("unwatched", &f.Unwatched),
+		n("ended", &f.Ended), n("holds_lost", &f.HoldsLost))
+}
+
+// NewShared makes what the listeners of a core share.
+func NewShared(c *core.Core, cfg SharedConfig, t *account.Table, log *slog.Logger) (*Shared, error) {
+	m, err := verdict.NewMemory[outcome, *check](cfg.Memory)
+	if err != nil {
+		return nil, err
+	}
+	var b [8]byte
+	rand.Read(b[:])
+	s := &Shared{core: c, log: log, memory: m, prefix: hex.EncodeToString(b[:]) + "-",
+		holds: holds{most: cfg.MostHolds, byID: map[string]*held{}}}
+	s.table.Store(t)
+	return s, nil
+}
+
+// SetTable swaps the accounts. Checks that were read before go by the old ones. Any goroutine may call it.
+func (s *Shared) SetTable(t *account.Table) { s.table.Store(t) }
+
+// Table is the accounts as they are now.
+func (s *Shared) Table() *account.Table { return s.table.Load() }
+
+// check is one check from when its account is known.
+type check struct {
+	core.Request
+	s     *Shared
+	watch bool // a repeat of it can be told
+	key   verdict.Key
+	entry *verdict.Entry[outcome, *check]
+	done  chan outcome
+}
+
+// outcome is what was decided.
+type outcome struct {
+	verdict core.Verdict
+	pause   time.Duration
+	at      time.Duration // when it was decided, on the loop's clock
+	quota   core.Quota
+	id      string // of the granted request, for its end
+	repeat  bool   // told before
+}
+
+// arrived takes a check to the loop: one that is known is told or joined, and counts no more.
+func (s *Shared) arrived(c *check) {
+	if c.watch {
+		now := s.core.Now()
+		e, state := s.memory.Ask(now, c.Customer, c.key, c)
+		switch state {
+		case verdict.Open:
+			s.Figures.Repeated.Add(1)
+			return
+		case verdict.Given:
+			s.Figures.Repeated.Add(1)
+			o := e.Verdict
+			o.pause = max(0, o.pause-(now-o.at))
+			o.repeat = true
+			c.done <- o
+			return
+		case verdict.Unwatched:
+			s.Figures.Unwatched.Add(1)
+		case verdict.New:
+			c.entry = e
+		}
+	}
+	s.core.Submit(&c.Request)
+}
+
+// Forward implements [core.Caller]. A grant has no backend.
+func (c *check) Forward(time.Duration) []byte { return nil }
+
+// Answer implements [core.Caller].
+func (c *check) Answer(a core.Answer) {
+	s := c.s
+	o := outcome{verdict: a.Verdict, pause: a.Pause, at: s.core.Now(), quota: a.Quota}
+	keep := time.Duration(0) // what was not decided is decided anew when it is asked again
+	switch a.Verdict {
+	case core.Granted:
+		s.lastID++
+		o.id = s.prefix + strconv.FormatUint(s.lastID, 36)
+		keep = time.Duration(1<<63 - 1)
+		if c.Hold > 0 && !s.holds.add(o.id, &c.Request, o.at+c.Hold, o.at) {
+			s.Figures.HoldsLost.Add(1)
+		}
+	case core.Refused:
+		keep = max(refusedKeep, a.Pause)
+	}
+	if c.entry == nil {
+		c.done <- o
+		return
+	}
+	for i, w := range s.memory.Settle(o.at, c.entry, o, keep) {
+		o.repeat = i > 0
+		w.done <- o
+	}
+}
+
+// end takes word that the work of a granted request is over, and says whether its grant was still held.
+func (s *Shared) end(id string) bool {
+	r := s.holds.take(id, s.core.Now())
+	if r == nil {
+		return false
+	}
+	s.Figures.Ended.Add(1)
+	s.core.Finish(r)
+	return true
+}
+
+// holds keeps the grants whose end is awaited until the module lets go of them by itself.
+type holds struct {
+	most int
+	byID map[string]*held
+	due  dueHeap
+}
+
+type held struct {
+	id    string
+	r     *core.Request
+	until time.Duration
+	spot  int
+}
+
+// add keeps a grant; false: there is no room, and only its hold will end it.
+func (h *holds) add(id string, r *core.Request, until, now time.Duration) bool {
+	h.expire(now)
+	if len(h.byID) >= h.most {
+		return false
+	}
+	e := &held{id: id, r: r, until: until}
+	h.byID[id] = e
+	heap.Push(&h.due, e)
+	return true
+}
+
+func (h *holds) take(id string, now time.Duration) *core.Request {
+	h.expire(now)
+	e := h.byID[id]
+	if e == nil {
+		return nil
+	}
+	delete(h.byID, id)
+	heap.Remove(&h.due, e.spot)
+	return e.r
+}
+
+func (h *holds) expire(now time.Duration) {
+	for len(h.due) > 0 && h.due[0].until <= now {
+		delete(h.byID, heap.Pop(&h.due).(*held).id)
+	}
+}
+
+type dueHeap []*held
+
+func (h dueHeap) Len() int           { return len(h) }
+func (h dueHeap) Less(i, j int) bool { return h[i].until < h[j].until }
+func (h dueHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].spot, h[j].spot = i, j
+}
+func (h *dueHeap) Push(e any) {
+	e.(*held).spot = len(*h)
+	*h = append(*h, e.(*held))
+}
+func (h *dueHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return e
+}
--- a/internal/front/resp2/front.go
+++ b/internal/front/resp2/front.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"snowhall/internal/account"
 	"snowhall/internal/budget"
 	"snowhall/internal/core"
 )
@@ -19,6 +20,9 @@
 // Config names the classes and plans as clients do, in the order of the module's indices.
 type Config struct {
 	Classes, Plans []string
+	// Accounts finds what is configured for a customer; nil, or a nil result: nothing, and the request's own plan and
+	// set of front doors hold. Any goroutine calls it.
+	Accounts func(customer string) *account.Account
 }
 
 // Front takes connections and reads requests from them.
--- a/internal/front/resp2/request.go
+++ b/internal/front/resp2/request.go
@@ -124,6 +124,9 @@
 	case a.Class < 0, a.Plan < 0, a.Wait == 0, a.Units == 0, a.Doors == 0, !first:
 		return nil, errors.New("one of c, t, d, units, spread and first is missing")
 	}
+	if err := fr.configured(a); err != nil {
+		return nil, err
+	}
 	// A request and its timers are kept for as long as the client says that it waits.
 	class := &fr.core.Settings.Classes[a.Class]
 	if class.GiveUp > 0 && a.Wait > class.GiveUp+lateAsk {
@@ -138,6 +141,26 @@
 	return a, nil
 }
 
+// configured holds a request to what is configured for its customer: one plan and one set of front doors over all
+// fronts, as the quota and the ceiling are one.
+func (fr *Front) configured(a *ask) error {
+	if fr.cfg.Accounts == nil {
+		return nil
+	}
+	acct := fr.cfg.Accounts(a.Customer)
+	if acct == nil {
+		return nil
+	}
+	switch {
+	case acct.Plan != a.Plan:
+		return errors.New("the plan is not that of the account")
+	case !acct.Entitled(a.Class):
+		return errors.New("the account is not entitled to the class")
+	}
+	a.Doors = acct.Doors
+	return nil
+}
+
 // Forward implements [core.Caller]. The command for a backend is as it came but for d, which tells how long this front door will wait.
 func (a *ask) Forward(wait time.Duration) []byte {
 	b := redcon.AppendArray(nil, len(a.args))
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -41,6 +41,22 @@
 	}
 }
 
+// PostUntil is Post that gives up, and says so, when the signal comes first or the loop is closed.
+func (l *Loop) PostUntil(task func(), signal <-chan time.Time) bool {
+	select {
+	case l.tasks <- task: // no other case is looked at where there is room
+		return true
+	default:
+	}
+	select {
+	case l.tasks <- task:
+		return true
+	case <-signal:
+	case <-l.done:
+	}
+	return false
+}
+
 // Close says that the loop runs no more tasks.
 func (l *Loop) Close() { close(l.done) }
 
--- /dev/null
+++ b/internal/service/hosted/config_test.go
@@ -0,0 +1,133 @@
+package hosted
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"snowhall"
+	"snowhall/internal/front/authz"
+)
+
+func example(t testing.TB) string {
+	t.Helper()
+	b, err := os.ReadFile("../../../deploy/gapgapd.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+func TestForwardAuthExampleIsGood(t *testing.T) {
+	c, err := Parse("x", []byte(example(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Node.Settings
+	if s.Doors != 3 || s.MaxRetryAfter != 5*time.Second || s.Classes[1].Effect != snowhall.Keyed || s.Plans[1].CeilingRate != 40 ||
+		s.StopSendingWithin != 250*time.Millisecond || !s.Counter || s.MaxUnits != 10 {
+		t.Errorf("settings %+v", s)
+	}
+	if len(c.Listeners) != 2 || !c.Listeners[0].RESP2 || len(c.Listeners[1].Authz.Routes) != 4 {
+		t.Fatalf("listeners %+v", c.Listeners)
+	}
+	r := c.Listeners[1].Authz.Routes
+	if r[0].Dialect != authz.Nginx || r[0].Repeat != authz.ByRequestID || r[0].DefaultClass != 0 || r[1].NonceHeader != "Idempotency-Key" ||
+		r[3].Identify[0] != authz.ByCertificate || r[3].UnitsHeader != "X-Units" {
+		t.Errorf("routes %+v", r)
+	}
+	if a := c.Accounts.ByName("acme"); a == nil || a.Plan != 1 || a.Hold != 30*time.Second {
+		t.Errorf("account %+v", a)
+	}
+}
+
+// Whatever is wrong is said with file, line and key, and nothing starts.
+func TestForwardAuthBadConfiguration(t *testing.T) {
+	good := example(t)
+	for _, c := range []struct{ old, new, key string }{
+		{"sockets = 4096", "socks = 4096", "node.socks"},
+		{"sockets = 4096", `sockets = "many"`, "node.sockets"},
+		{"memory_mb = 256", "memory_mb = -1", "node.memory_mb"},
+		{"rank = 0", "rank = 3", "node.rank"},
+		{`discovery = "127.0.0.1:8500"`, `discovery = "here"`, "node.discovery"},
+		{`counter = "127.0.0.1:6400"`, `counter = "here"`, "node.counter"},
+		{`# allow = ["10.0.0.0/8"]`, `allow = ["10.0.0.0/99"] #`, "node.allow[0]"},
+		{`address = "127.0.0.1:9090"`, `address = "10.1.1.1:9090"`, "listener[1].address"},
+		{`address = "127.0.0.1:9090"`, `address = "127.0.0.1:6379"`, "listener[1].address"},
+		{`address = "127.0.0.1:9090"`, `address = "localhost:1"`, "listener[1].address"},
+		{`protocol = "authz"`, `protocol = "smtp"`, "listener[1].protocol"},
+		{`protocol = "resp2"`, "protocol = \"resp2\"\nend_path = \"/x\"", "listener[0].protocol"},
+		{`name = "checks"`, `name = "resp2"`, "listener[1].name"},
+		{`trusted = ["127.0.0.0/8"]`, `trusted = ["127.0.0.0/8", "proxy"]`, "listener[1].trusted[1]"},
+		{`trusted = ["127.0.0.0/8"]`, "", "listener[1].trusted"},
+		{`trusted = ["127.0.0.0/8"]`, `trusted_certificates = ["a"]`, "listener[1].trusted_certificates"},
+		{`max_headers = 100`, `max_headers = 1`, "listener[1].max_headers"},
+		{`header_timeout = "2.5s"`, `header_timeout = "-1s"`, "listener[1].header_timeout"},
+		{`header_timeout = "2.5s"`, `header_timeout = "2,5s"`, "listener.header_timeout"},
+		{`dialect = "caddy"`, `dialect = "candy"`, "listener[1].check[2].dialect"},
+		{`path = "/caddy"`, `path = "/nginx"`, "listener[1].check[2].path"},
+		{`path = "/caddy"`, `path = "/end"`, "listener[1].check[2].path"},
+		{`path = "/caddy"`, `path = "caddy"`, "listener[1].check[2].path"},
+		{`path = "/envoy"`, `path = "/envoy/"`, "listener[1].check[3].path"},
+		{`identify = ["certificate", "key"]`, `identify = ["face"]`, "listener[1].check[3].identify[0]"},
+		{`certificate_header = "X-Client-Certificate-Name"`, "", "listener[1].check[3].certificate_header"},
+		{`repeat = "nonce"`, `repeat = "always"`, "listener[1].check[1].repeat"},
+		{`within = "500ms"`, `within = "5s"`, "listener[1].check[0].within"},
+		{`within = "500ms"`, `within = "-5s"`, "listener[1].check[0].within"},
+		{`undecided = "deny"`, `undecided = "perhaps"`, "listener[1].check[0].undecided"},
+		{`default_class = "evaluate"        #`, `default_class = "other" #`, "listener[1].check[0].default_class"},
+		{`plan = "business"`, `plan = "gold"`, "account[0].plan"},
+		{`customer = "0000000000000002"`, `customer = "00000000b4d65521"`, "account[1].customer"},
+		{`hold = "20s"`, `doors = 4`, "account[1].doors"},
+		{`effect = "keyed"`, `effect = "odd"`, "class[1].effect"},
+		{`window = "1.2s"`, `window = "0s"`, "class[1].window"},
+		{`aim = "600ms"`, `aim = "6s"`, "class[1].aim"},
+		{`rate = 20.0`, `rate = -20.0`, "plan[1].rate"},
+		{`ceiling_depth = 80.0`, ``, "plan[1].ceiling_depth"},
+		{`name = "seats"`, `name = "se\"ats"`, "plan[2].name"},
+		{`units = 2.0`, `units = 20.0`, "rule[0].units"},
+		{`per_account = 2000`, `per_account = 200000`, "verdicts"},
+		{`# [listener.tls]`, "[listener.tls]\ncertificate = \"nowhere\"", "listener[1].tls"},
+	} {
+		if !strings.Contains(good, c.old) {
+			t.Fatalf("the example has no %q", c.old)
+		}
+		bad := strings.Replace(good, c.old, c.new, 1)
+		_, err := Parse("file.toml", []byte(bad))
+		var e *Error
+		if !errors.As(err, &e) || e.Key != c.key || e.File != "file.toml" || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", c.key, err)
+			continue
+		}
+		// A key that is there stands on its own line; one that is missing is told by the table where it should stand.
+		want := 1 + strings.Count(good[:strings.Index(good, c.old)], "\n")
+		if c.new != "" && !strings.Contains(c.new, "\n") && c.key != "verdicts" && c.key != "listener[1].trusted" && e.Line != want {
+			t.Errorf("%s: line %d, want %d", c.key, e.Line, want)
+		}
+		if e.Line == 0 {
+			t.Errorf("%s: no line", c.key)
+		}
+	}
+	for _, bad := range []string{"", "[node", "a = 1", "[[node]]\n[[node]]", "[node]\nname = 1"} {
+		if _, err := Parse("x", []byte(bad)); err == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+	if _, err := Load(filepath.Join(t.TempDir(), "none")); err == nil || !strings.Contains(err.Error(), "none") {
+		t.Errorf("a file that is not there: %v", err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(example(f))
+	f.Add("[[listener]]\n[listener.tls]\nkey=1\n[[listener.check]]\na={b={c=1}}")
+	f.Fuzz(func(t *testing.T, s string) {
+		c, err := Parse("x", []byte(s))
+		if (c == nil) == (err == nil) {
+			t.Errorf("neither a configuration nor an error")
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/flagserver/flagserver.go
@@ -0,0 +1,173 @@
+// Package flagserver is a stand-in for a backend: it answers the platform's RESP2 commands on loopback.
+package flagserver
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Sent is one command that came whole.
+type Sent struct {
+	At       time.Time
+	Customer string
+	ID       string
+	Name     string
+}
+
+// Server is one flag server.
+type Server struct {
+	ln   net.Listener
+	mu   sync.Mutex
+	cfg  Config
+	sent []Sent
+	open map[net.Conn]bool
+	wg   sync.WaitGroup
+}
+
+// Config says how it behaves. It may be changed while it runs.
+type Config struct {
+	Delay  time.Duration // before an answer
+	Silent bool          // commands are read and never answered
+	Value  string        // of each answer; empty: one that names the command
+	Keep   bool          // what comes is kept for Sent
+}
+
+// Start listens on loopback.
+func Start(cfg Config) (*Server, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{ln: ln, cfg: cfg, open: map[net.Conn]bool{}}
+	s.wg.Add(1)
+	go s.accept()
+	return s, nil
+}
+
+// Addr is where it listens.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Set changes how it behaves.
+func (s *Server) Set(cfg Config) {
+	s.mu.Lock()
+	s.cfg = cfg
+	s.mu.Unlock()
+}
+
+// Sent returns the commands that came, in their order.
+func (s *Server) Sent() []Sent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Sent(nil), s.sent...)
+}
+
+// Close ends it as a process that dies: its connections are reset or ended.
+func (s *Server) Close() {
+	s.ln.Close()
+	s.mu.Lock()
+	for nc := range s.open {
+		nc.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *Server) accept() {
+	defer s.wg.Done()
+	for {
+		nc, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.open[nc] = true
+		s.mu.Unlock()
+		s.wg.Add(1)
+		go s.serve(nc)
+	}
+}
+
+func (s *Server) serve(nc net.Conn) {
+	defer s.wg.Done()
+	defer func() {
+		nc.Close()
+		s.mu.Lock()
+		delete(s.open, nc)
+		s.mu.Unlock()
+	}()
+	in := bufio.NewReader(nc)
+	for {
+		args, err := command(in)
+		if err != nil {
+			return
+		}
+		at := time.Now()
+		s.mu.Lock()
+		cfg := s.cfg
+		if cfg.Keep && len(args) > 2 {
+			s.sent = append(s.sent, Sent{at, args[1], args[2], args[0]})
+		}
+		s.mu.Unlock()
+		answer := "+PONG\r\n"
+		if len(args) > 2 {
+			if cfg.Silent {
+				continue
+			}
+			v := cfg.Value
+			if v == "" {
+				v = args[0] + " " + args[2]
+			}
+			answer = fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(v), v)
+			time.Sleep(cfg.Delay)
+		}
+		if _, err := nc.Write([]byte(answer)); err != nil {
+			return
+		}
+	}
+}
+
+// command reads an array of bulk strings.
+func command(in *bufio.Reader) ([]string, error) {
+	n, err := number(in, '*')
+	if err != nil {
+		return nil, err
+	}
+	args := make([]string, 0, n)
+	for range n {
+		size, err := number(in, '$')
+		if err != nil {
+			return nil, err
+		}
+		b := make([]byte, size+2)
+		for at := 0; at < len(b); {
+			m, err := in.Read(b[at:])
+			if err != nil {
+				return nil, err
+			}
+			at += m
+		}
+		args = append(args, string(b[:size]))
+	}
+	return args, nil
+}
+
+func number(in *bufio.Reader, kind byte) (int, error) {
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return 0, err
+	}
+	line = strings.TrimRight(line, "\r\n")
+	if line == "" || line[0] != kind {
+		return 0, fmt.Errorf("%q does not begin with %q", line, kind)
+	}
+	n, err := strconv.Atoi(line[1:])
+	if err != nil || n < 0 || n > 1<<20 {
+		return 0, fmt.Errorf("length %q", line)
+	}
+	return n, nil
+}
