--- a/internal/front/authz/check.go
+++ b/internal/front/authz/check.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -166,16 +167,24 @@
 	return one(h, name)
 }
 
-// discard reads a body away, up to the bound.
-func (fr *Front) discard(r *http.Request) bool {
+// discard reads a body away, up to the bound. A request whose body has not come whole is not taken.
+func (fr *Front) discard(r *http.Request) (int, string) {
 	if r.Body == nil || r.Body == http.NoBody {
-		return true
+		return 0, ""
 	}
+	const long = "The body is longer than is read here."
 	if r.ContentLength > fr.cfg.MaxBody {
-		return false
+		return http.StatusRequestEntityTooLarge, long
 	}
-	n, _ := io.CopyN(io.Discard, r.Body, fr.cfg.MaxBody+1)
-	return n <= fr.cfg.MaxBody
+	switch _, err := io.CopyN(io.Discard, r.Body, fr.cfg.MaxBody+1); {
+	case err == nil:
+		return http.StatusRequestEntityTooLarge, long
+	case errors.Is(err, io.EOF):
+		return 0, ""
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, "The body has not come in time."
+	}
+	return http.StatusBadRequest, "The body can't be read."
 }
 
 // check answers one check.
--- a/internal/front/authz/front.go
+++ b/internal/front/authz/front.go
@@ -157,10 +157,10 @@
 		return
 	}
 	defer fr.core.Memory.Give(cost)
-	if !fr.discard(r) {
+	if code, why := fr.discard(r); code != 0 {
 		fr.s.Figures.TooLarge.Add(1)
 		w.Header().Set("Connection", "close")
-		a.problem(http.StatusRequestEntityTooLarge, "body", "The body is longer than is read here.")
+		a.problem(code, "body", why)
 		return
 	}
 	if fr.cfg.EndPath != "" && r.URL.Path == fr.cfg.EndPath {
--- /dev/null
+++ b/internal/service/hosted/world_test.go
@@ -0,0 +1,293 @@
+package hosted
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"snowhall/internal/standin/catalog"
+	"snowhall/internal/standin/flagserver"
+	"snowhall/internal/standin/peer"
+	"snowhall/internal/standin/quota"
+)
+
+// world is a number of front doors with what stands round them, all on loopback.
+type world struct {
+	t       testing.TB
+	doors   []*door
+	servers []*flagserver.Server
+	counter *quota.Counter
+	agent   *catalog.Agent
+}
+
+// door is one service in this process.
+type door struct {
+	*Service
+	http, resp string
+	stop       context.CancelFunc
+	ended      chan struct{}
+}
+
+// base is a configuration in which tests change parts; %s are discovery, counter, doors, rank.
+const base = `
+[node]
+seed = "7"
+discovery = %q
+counter = %q
+doors = %d
+rank = %d
+sockets = 2048
+[limits]
+retry_after = "5s"
+max_units = 10.0
+counter_timeout = "2s"
+probe = true
+[[class]]
+name = "evaluate"
+effect = "safe"
+worth = 1.0
+aim = "2s"
+give_up = "3s"
+[[class]]
+name = "change"
+effect = "keyed"
+window = "2s"
+worth = 5.0
+aim = "2s"
+give_up = "3s"
+[[plan]]
+name = "starter"
+rate = 1.0
+burst = 6.0
+over_cost = 1.2
+[[plan]]
+name = "business"
+rate = 20.0
+burst = 20.0
+over_worth = 0.2
+ceiling_rate = 40.0
+ceiling_depth = 40.0
+[[plan]]
+name = "seats"
+rate = 1000.0
+burst = 1000.0
+at_once = 3
+over_cost = 1.0
+[[plan]]
+name = "open"
+[[listener]]
+name = "resp"
+protocol = "resp2"
+address = "127.0.0.1:0"
+[[listener]]
+name = "http"
+protocol = "authz"
+address = "127.0.0.1:0"
+trusted = ["127.0.0.1"]
+end_path = "/end"
+header_timeout = "2s"
+max_headers = 40
+max_body = 1000
+[[listener.check]]
+path = "/nginx"
+dialect = "nginx"
+repeat = "request-id"
+default_class = "evaluate"
+[[listener.check]]
+path = "/traefik"
+dialect = "traefik"
+repeat = "nonce"
+default_class = "evaluate"
+[[listener.check]]
+path = "/caddy"
+dialect = "caddy"
+identify = ["header", "key"]
+account_header = "X-Account"
+units_header = "X-Units"
+repeat = "request-id"
+default_class = "evaluate"
+[[listener.check]]
+path = "/envoy"
+dialect = "envoy"
+repeat = "request-id"
+identify = ["certificate", "key"]
+certificate_header = "X-Client-Cert-Name"
+[[listener.check]]
+path = "/long"
+dialect = "traefik"
+repeat = "request-id"
+default_class = "evaluate"
+within = "3s"
+[[rule]]
+host = "flags.example.org"
+path = "/closed"
+class = "change"
+[[rule]]
+host = "flags.example.org"
+path = "/dear"
+class = "evaluate"
+units = 5.0
+[[rule]]
+host = "flags.example.org"
+class = "evaluate"
+`
+
+// accounts are named by their plans; the key of each is "key-" and its name.
+func accounts() string {
+	s := ""
+	for i, a := range [][2]string{{"small", "starter"}, {"big", "business"}, {"seated", "seats"}, {"free", "open"}, {"other", "business"}} {
+		s += fmt.Sprintf("[[account]]\nname = %q\nplan = %q\ncustomer = \"%016x\"\nkeys = [\"%x\"]\ncertificates = [\"%s.clients\"]\n",
+			a[0], a[1], i+1, sha256.Sum256([]byte("key-"+a[0])), a[0])
+		if a[0] == "small" {
+			s += "classes = [\"evaluate\"]\n"
+		}
+		if a[0] == "seated" {
+			s += "hold = \"1h\"\n"
+		}
+	}
+	return s
+}
+
+// customers are the numbers of the accounts.
+var customers = map[string]string{"small": fmt.Sprintf("%016x", 1), "big": fmt.Sprintf("%016x", 2),
+	"seated": fmt.Sprintf("%016x", 3), "free": fmt.Sprintf("%016x", 4), "other": fmt.Sprintf("%016x", 5)}
+
+var discard = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// start runs front doors. The edits change the text of the configuration, in pairs of old and new.
+func start(t testing.TB, doors int, edits ...string) *world {
+	t.Helper()
+	w := &world{t: t}
+	var list []catalog.Endpoint
+	for i := range 3 {
+		s, err := flagserver.Start(flagserver.Config{Keep: true, Delay: time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		w.servers = append(w.servers, s)
+		list = append(list, catalog.Serving(fmt.Sprint("s-", i), s.Addr()))
+	}
+	var err error
+	if w.agent, err = catalog.Start(list...); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.agent.Close)
+	if w.counter, err = quota.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.counter.Close)
+	for i := range doors {
+		w.doors = append(w.doors, w.door(doors, i, edits...))
+	}
+	return w
+}
+
+// text is the configuration of one door.
+func (w *world) text(doors, rank int, edits ...string) string {
+	text := fmt.Sprintf(base, w.agent.Addr(), w.counter.Addr(), doors, rank) + accounts()
+	for i := 0; i < len(edits); i += 2 {
+		if !strings.Contains(text, edits[i]) {
+			w.t.Fatalf("the configuration has no %q", edits[i])
+		}
+		text = strings.Replace(text, edits[i], edits[i+1], 1)
+	}
+	return text
+}
+
+func (w *world) door(doors, rank int, edits ...string) *door {
+	w.t.Helper()
+	cfg, err := Parse("test.toml", []byte(w.text(doors, rank, edits...)))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	s, err := New(cfg, discard)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	d := &door{Service: s, stop: stop, ended: make(chan struct{}), http: "http://" + s.Addr("http").String(),
+		resp: s.Addr("resp").String()}
+	go func() {
+		defer close(d.ended)
+		s.Serve(ctx)
+	}()
+	w.t.Cleanup(func() {
+		stop()
+		<-d.ended
+	})
+	for end := time.Now().Add(peer.Patient); !s.Ready(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatal("it never was ready")
+		}
+	}
+	return d
+}
+
+// client is an HTTP client that keeps connections and never goes by a proxy.
+func client() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: peer.Patient}
+}
+
+// ask makes a check as Traefik does, with more fields in pairs.
+func ask(t testing.TB, c *http.Client, url string, fields ...string) (int, http.Header, string) {
+	t.Helper()
+	code, h, b, err := try(c, url, fields...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return code, h, b
+}
+
+func try(c *http.Client, url string, fields ...string) (int, http.Header, string, error) {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	for k, v := range map[string]string{"X-Forwarded-Method": "GET", "X-Forwarded-Host": "flags.example.org",
+		"X-Forwarded-Uri": "/v1/x", "X-Forwarded-Proto": "https", "X-Original-Method": "GET",
+		"X-Original-Uri": "/v1/x", "X-Original-Host": "flags.example.org"} {
+		req.Header.Set(k, v)
+	}
+	for i := 0; i < len(fields); i += 2 {
+		req.Header.Del(fields[i])
+		if fields[i+1] != "" {
+			req.Header.Set(fields[i], fields[i+1])
+		}
+	}
+	if h := req.Header.Get("Host"); h != "" {
+		req.Host = h
+		req.Header.Del("Host")
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return res.StatusCode, res.Header, string(b), err
+}
+
+// bearer is the field that shows an account's key.
+func bearer(account string) []string { return []string{"Authorization", "Bearer key-" + account} }
+
+// warm waits until a fresh front door's share of an account's ceiling has begun to fill: it starts empty, as the door may
+// have spent it before a restart.
+func (w *world) warm(d *door, account string) {
+	w.t.Helper()
+	for end := time.Now().Add(peer.Patient); ; time.Sleep(5 * time.Millisecond) {
+		if code, _, _ := ask(w.t, client(), d.http+"/traefik", bearer(account)...); code == 200 {
+			time.Sleep(300 * time.Millisecond) // some more units
+			return
+		}
+		if time.Now().After(end) {
+			w.t.Fatal("nothing is ever allowed")
+		}
+	}
+}
