--- /dev/null
+++ b/cmd/gapgapd/main_test.go
@@ -0,0 +1,434 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"snowhall/internal/standin/catalog"
+	"snowhall/internal/standin/flagserver"
+	"snowhall/internal/standin/peer"
+	"snowhall/internal/standin/quota"
+)
+
+// binary is the real program, built once.
+var binary = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "gapgapd")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir, ".").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return filepath.Join(dir, "gapgapd"), nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if b, err := binary(); err == nil {
+		os.RemoveAll(filepath.Dir(b))
+	}
+	os.Exit(code)
+}
+
+// process is a running gapgapd with what stands round it.
+type process struct {
+	t       *testing.T
+	file    string
+	cmd     *exec.Cmd
+	http    string
+	resp    string
+	ended   chan error
+	server  *flagserver.Server
+	counter *quota.Counter
+	agent   *catalog.Agent
+	mu      sync.Mutex
+	log     strings.Builder
+}
+
+const text = `
+[node]
+discovery = %q
+counter = %q
+[limits]
+retry_after = "5s"
+counter_timeout = "2s"
+[[class]]
+name = "evaluate"
+effect = "safe"
+worth = 1.0
+aim = "2s"
+give_up = "3s"
+[[plan]]
+name = "open"
+[[plan]]
+name = "starter"
+rate = 0.01
+burst = 4.0
+over_cost = 1.0
+[[listener]]
+name = "resp"
+protocol = "resp2"
+address = %q
+[[listener]]
+name = "http"
+protocol = "authz"
+address = %q
+trusted = ["127.0.0.1"]
+[[listener.check]]
+path = "/check"
+dialect = "traefik"
+repeat = "request-id"
+default_class = "evaluate"
+within = "3s"
+[[account]]
+name = "free"
+customer = "0000000000000001"
+plan = "open"
+keys = ["%x"]
+[[account]]
+name = "small"
+customer = "0000000000000002"
+plan = "starter"
+keys = ["%x"]
+`
+
+func launch(t *testing.T) *process {
+	t.Helper()
+	p := &process{t: t, file: filepath.Join(t.TempDir(), "gapgapd.toml")}
+	var err error
+	if p.server, err = flagserver.Start(flagserver.Config{Keep: true}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.server.Close)
+	if p.counter, err = quota.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.counter.Close)
+	if p.agent, err = catalog.Start(catalog.Serving("s-0", p.server.Addr())); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.agent.Close)
+	p.write("")
+	p.start()
+	return p
+}
+
+// write writes the configuration and something more.
+func (p *process) write(more string) {
+	p.t.Helper()
+	addr := func(s string) string {
+		if s == "" {
+			return "127.0.0.1:0"
+		}
+		return s
+	}
+	s := fmt.Sprintf(text, p.agent.Addr(), p.counter.Addr(), addr(p.resp), addr(p.http), sha256.Sum256([]byte("key-free")), sha256.Sum256([]byte("key-small")))
+	if err := os.WriteFile(p.file, []byte(s+more), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+var serving = regexp.MustCompile(`msg=serving .*listener=(\w+) address=(\S+)`)
+
+// start starts the program and waits until it serves.
+func (p *process) start() {
+	p.t.Helper()
+	b, err := binary()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.cmd = exec.Command(b, "run", p.file)
+	out, err := p.cmd.StderrPipe()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	cmd, ended, up := p.cmd, make(chan error, 1), make(chan struct{})
+	p.ended = ended
+	p.t.Cleanup(func() { cmd.Process.Kill() })
+	go func() {
+		n := 0
+		for in := bufio.NewScanner(out); in.Scan(); {
+			p.mu.Lock()
+			p.log.WriteString(in.Text() + "\n")
+			p.mu.Unlock()
+			if m := serving.FindStringSubmatch(in.Text()); m != nil {
+				if m[1] == "resp" {
+					p.resp = m[2]
+				} else {
+					p.http = m[2]
+				}
+				if n++; n == 2 {
+					close(up)
+				}
+			}
+		}
+		ended <- cmd.Wait()
+	}()
+	select {
+	case <-up:
+	case err := <-ended:
+		p.t.Fatalf("it ended: %v\n%s", err, p.logged())
+	case <-time.After(peer.Patient):
+		p.t.Fatal("it does not serve")
+	}
+	for end := time.Now().Add(peer.Patient); ; time.Sleep(time.Millisecond) {
+		if code, _, err := check(http.DefaultClient, p.http, "free", ""); err == nil && code == 200 {
+			return
+		} else if time.Now().After(end) {
+			p.t.Fatalf("it is never ready: %d %v", code, err)
+		}
+	}
+}
+
+func (p *process) logged() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// check makes one check.
+func check(c *http.Client, addr, account, id string) (int, http.Header, error) {
+	req, _ := http.NewRequest(http.MethodGet, "http://"+addr+"/check", nil)
+	req.Header = http.Header{"X-Forwarded-Method": {"GET"}, "X-Forwarded-Uri": {"/"}, "X-Forwarded-Host": {"x"},
+		"Authorization": {"Bearer key-" + account}}
+	if id != "" {
+		req.Header.Set("X-Request-Id", id)
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	return res.StatusCode, res.Header, err
+}
+
+func client(h2 bool) *http.Client {
+	p := &http.Protocols{}
+	p.SetHTTP1(!h2)
+	p.SetUnencryptedHTTP2(h2)
+	return &http.Client{Transport: &http.Transport{Protocols: p}, Timeout: peer.Patient}
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// SIGTERM of the real program, with checks that wait for the counter and others that come all the time: every check that
+// was taken is answered, whole, over HTTP/1.1 and HTTP/2, and requests over RESP2 too; then it ends by itself.
+func TestForwardAuthSIGTERM(t *testing.T) {
+	p := launch(t)
+	c := client(false)
+	for range 4 { // this door's own share
+		if code, _, err := check(c, p.http, "small", ""); code != 200 {
+			t.Fatal(code, err)
+		}
+	}
+	calls := p.counter.Calls()
+	resume := p.counter.Stall()
+	type result struct {
+		code int
+		err  error
+	}
+	taken := make(chan result, 64)
+	for i := range 20 {
+		go func() {
+			code, _, err := check(client(i%2 == 1), p.http, "small", fmt.Sprint("t", i))
+			taken <- result{code, err}
+		}()
+	}
+	for end := time.Now().Add(peer.Patient); p.counter.Calls() == calls; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("nobody asks the counter")
+		}
+	}
+	time.Sleep(200 * time.Millisecond) // the others have come meanwhile
+	p.server.Set(flagserver.Config{Delay: 700 * time.Millisecond})
+	r := peer.Dial(t, p.resp)
+	r.Command("Q.ASK", "0000000000000001", "r1", "c=evaluate,t=open,d=2000,units=1,spread=1,first=0")
+	var loads sync.WaitGroup
+	var answered, odd atomic.Int64
+	stop := make(chan struct{})
+	for i := range 8 { // load that goes on until nothing listens any more
+		loads.Go(func() {
+			c := client(i%2 == 1)
+			defer c.CloseIdleConnections()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				code, _, err := check(c, p.http, "free", "")
+				if err != nil {
+					if !strings.Contains(err.Error(), "refused") && !strings.Contains(err.Error(), "reset") && !strings.Contains(err.Error(), "EOF") {
+						t.Errorf("%v", err)
+					}
+					return // it does not listen any more, or the connection ended between two checks
+				}
+				if answered.Add(1); code != 200 {
+					odd.Add(1)
+				}
+			}
+		})
+	}
+	for answered.Load() < 100 {
+		time.Sleep(time.Millisecond)
+	}
+	p.signal(syscall.SIGTERM)
+	late := answered.Load()
+	time.Sleep(100 * time.Millisecond)
+	if code, _, err := check(client(false), p.http, "free", ""); code != 200 {
+		t.Errorf("a new connection just after SIGTERM: %d %v", code, err)
+	}
+	resume()
+	for range 20 {
+		if r := <-taken; r.err != nil || r.code != 200 && r.code != 429 {
+			t.Errorf("a check that was taken: %d %v", r.code, r.err)
+		}
+	}
+	r.Wants("Q.ASK r1")
+	select {
+	case err := <-p.ended:
+		if err != nil {
+			t.Errorf("it ended with %v\n%s", err, p.logged())
+		}
+	case <-time.After(peer.Patient):
+		t.Fatal("it does not end")
+	}
+	close(stop)
+	loads.Wait()
+	if odd.Load() > 0 || answered.Load() == late {
+		t.Errorf("%d odd answers; %d answered, %d before SIGTERM", odd.Load(), answered.Load(), late)
+	}
+	if !strings.Contains(p.logged(), "unanswered=0") {
+		t.Errorf("the log:\n%s", p.logged())
+	}
+}
+
+// SIGKILL of the real program under load and a new start: what was open has no answer; afterwards it serves, by the quota
+// as the counter has it, and a check that was granted before is charged once more at most, which is the stated loss.
+func TestForwardAuthSIGKILL(t *testing.T) {
+	p := launch(t)
+	c := client(false)
+	code, first, err := check(c, p.http, "free", "same")
+	_, again, _ := check(c, p.http, "free", "same")
+	id := first.Get("X-Gapgap-Request-Id")
+	if code != 200 || id == "" || again.Get("X-Gapgap-Request-Id") != id {
+		t.Fatal(code, err, id, again)
+	}
+	for range 4 {
+		check(c, p.http, "small", "")
+	}
+	var loads sync.WaitGroup
+	for range 4 {
+		loads.Go(func() {
+			c := client(false)
+			for {
+				if _, _, err := check(c, p.http, "free", ""); err != nil {
+					return
+				}
+			}
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+	loads.Wait()
+	p.write("") // with the addresses that it had
+	p.start()
+	_, h, err := check(client(false), p.http, "free", "same")
+	anew := h.Get("X-Gapgap-Request-Id")
+	_, again, _ = check(client(false), p.http, "free", "same")
+	if err != nil || anew == "" || anew == id || again.Get("X-Gapgap-Request-Id") != anew {
+		t.Errorf("after the restart %q and %q, before %q, %v", anew, again.Get("X-Gapgap-Request-Id"), id, err)
+	}
+}
+
+// SIGHUP takes new accounts; a file that can't be used changes nothing.
+func TestForwardAuthSIGHUP(t *testing.T) {
+	p := launch(t)
+	until := func(account string, want int) {
+		t.Helper()
+		code := 0
+		for end := time.Now().Add(peer.Patient); ; time.Sleep(5 * time.Millisecond) {
+			if code, _, _ = check(http.DefaultClient, p.http, account, ""); code == want {
+				return
+			} else if time.Now().After(end) {
+				t.Fatalf("%s: %d, want %d\n%s", account, code, want, p.logged())
+			}
+		}
+	}
+	more := fmt.Sprintf("[[account]]\nname = \"new\"\ncustomer = \"0000000000000003\"\nplan = \"open\"\nkeys = [\"%x\"]\n", sha256.Sum256([]byte("key-new")))
+	until("new", 401)
+	p.write(more)
+	p.signal(syscall.SIGHUP)
+	until("new", 200)
+	for _, bad := range []string{"wrong = 1\n", "[[plan]]\nname = \"more\"\n"} {
+		p.write(bad)
+		n := strings.Count(p.logged(), "is not used")
+		p.signal(syscall.SIGHUP)
+		for end := time.Now().Add(peer.Patient); strings.Count(p.logged(), "is not used") == n; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%q is not refused\n%s", bad, p.logged())
+			}
+		}
+	}
+	until("new", 200)
+	p.write("")
+	p.signal(syscall.SIGHUP)
+	until("new", 401)
+}
+
+// The command line says what is wrong in one line, without starting.
+func TestForwardAuthCommandLine(t *testing.T) {
+	var out bytes.Buffer
+	if err := run([]string{"check", "../../deploy/gapgapd.toml"}, nil, &out); err != nil || !strings.Contains(out.String(), "good") {
+		t.Errorf("%q %v", out.String(), err)
+	}
+	out.Reset()
+	if err := run([]string{"hash"}, strings.NewReader("secret\n"), &out); err != nil || strings.TrimSpace(out.String()) != fmt.Sprintf("%x", sha256.Sum256([]byte("secret"))) {
+		t.Errorf("%q %v", out.String(), err)
+	}
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	os.WriteFile(bad, []byte("[node]\n\nnom = 1\n"), 0o600)
+	for _, args := range [][]string{{}, {"run"}, {"check", bad}, {"run", bad}, {"run", bad + "x"}, {"hash"}} {
+		if err := run(args, strings.NewReader(""), &out); err == nil || strings.Contains(strings.TrimSpace(err.Error()), "\n\n") {
+			t.Errorf("%v: %v", args, err)
+		} else if len(args) == 2 && args[1] == bad && !strings.HasSuffix(err.Error(), "bad.toml:3: node.nom: is not known here") {
+			t.Errorf("%v: %v", args, err)
+		}
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	s := fmt.Sprintf(text, "127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:0", ln.Addr().String(), sha256.Sum256(nil), sha256.Sum256([]byte("x")))
+	os.WriteFile(bad, []byte(s), 0o600)
+	if err := run([]string{"run", bad}, nil, &out); err == nil || !strings.Contains(err.Error(), "listener http") {
+		t.Errorf("an address in use: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/service/hosted/forwardauth_conn_test.go
@@ -0,0 +1,310 @@
+package hosted
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
+	"snowhall/internal/budget"
+	"snowhall/internal/standin/peer"
+)
+
+// h2c is a client that speaks HTTP/2 without TLS, with prior knowledge.
+func h2c() *http.Client {
+	p := &http.Protocols{}
+	p.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{Protocols: p}, Timeout: peer.Patient}
+}
+
+func TestForwardAuthHTTP2(t *testing.T) {
+	w := start(t, 1)
+	c := h2c()
+	req, _ := http.NewRequest(http.MethodGet, w.doors[0].http+"/traefik", nil)
+	req.Header = http.Header{"X-Forwarded-Method": {"GET"}, "X-Forwarded-Uri": {"/"}, "X-Forwarded-Host": {"x"},
+		"Authorization": {"Bearer key-free"}}
+	for range 50 {
+		res, err := c.Do(req)
+		if err != nil || res.StatusCode != 200 || res.ProtoMajor != 2 {
+			t.Fatalf("%+v %v", res, err)
+		}
+		res.Body.Close()
+	}
+	if n := w.doors[0].Conns.Len(); n != 1 {
+		t.Errorf("%d connections for one client", n)
+	}
+}
+
+// framer opens an HTTP/2 connection that the test plays frame by frame.
+func framer(t *testing.T, addr string) (*http2.Framer, net.Conn) {
+	t.Helper()
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(peer.Patient))
+	io.WriteString(nc, http2.ClientPreface)
+	f := http2.NewFramer(nc, nc)
+	f.WriteSettings()
+	return f, nc
+}
+
+func block(fields ...string) []byte {
+	var b bytes.Buffer
+	e := hpack.NewEncoder(&b)
+	for i := 0; i < len(fields); i += 2 {
+		e.WriteField(hpack.HeaderField{Name: fields[i], Value: fields[i+1]})
+	}
+	return b.Bytes()
+}
+
+// Streams opened and reset by thousands, or opened beyond what is allowed, or held half open: the connection is ended or
+// its streams refused, nothing is left behind, and others are answered meanwhile.
+func TestForwardAuthStreamFloods(t *testing.T) {
+	check := block(":method", "GET", ":scheme", "http", ":path", "/traefik", ":authority", "x", "x-forwarded-method", "GET",
+		"x-forwarded-uri", "/", "x-forwarded-host", "x", "authorization", "Bearer key-free")
+	for name, flood := range map[string]func(f *http2.Framer, id uint32) error{
+		"resets": func(f *http2.Framer, id uint32) error {
+			f.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: check, EndHeaders: true, EndStream: true})
+			return f.WriteRSTStream(id, http2.ErrCodeCancel)
+		},
+		"half open": func(f *http2.Framer, id uint32) error {
+			return f.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: check, EndHeaders: true})
+		},
+		"pings":    func(f *http2.Framer, id uint32) error { return f.WritePing(false, [8]byte{}) },
+		"settings": func(f *http2.Framer, id uint32) error { return f.WriteSettings() },
+		"continuations": func(f *http2.Framer, id uint32) error {
+			if id == 1 {
+				return f.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: check})
+			}
+			return f.WriteContinuation(1, false, block(fmt.Sprint("x-", id), strings.Repeat("y", 100)))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := start(t, 1)
+			d := w.doors[0]
+			before := runtime.NumGoroutine()
+			f, nc := framer(t, d.Addr("http").String())
+			go io.Copy(io.Discard, nc)
+			for id := uint32(1); id < 10_000; id += 2 {
+				if flood(f, id) != nil {
+					break // ended by the other side
+				}
+				if id%2000 == 1 {
+					if code, _, _ := ask(t, client(), d.http+"/traefik", bearer("free")...); code != 200 {
+						t.Fatalf("another: %d", code)
+					}
+				}
+			}
+			if n := runtime.NumGoroutine() - before; n > 400 {
+				t.Errorf("%d goroutines more", n)
+			}
+			nc.Close()
+			for end := time.Now().Add(peer.Patient); d.Memory.Held() > 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("%d bytes are held", d.Memory.Held())
+				}
+			}
+		})
+	}
+}
+
+// All fronts have one budget of connections: idle ones of either give way to newcomers of the other, and one on which a
+// check is open does not.
+func TestForwardAuthConnectionsShareOneBudget(t *testing.T) {
+	w := start(t, 1, "sockets = 2048", "sockets = 10") // 6 for clients
+	d := w.doors[0]
+	var idle []net.Conn
+	for range d.Conns.Most() {
+		nc, err := net.Dial("tcp", d.Addr("http").String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		nc.SetDeadline(time.Now().Add(peer.Patient))
+		io.WriteString(nc, "GET /none HTTP/1.1\r\nHost: x\r\n\r\n")
+		nc.Read(make([]byte, 4096))
+		idle = append(idle, nc)
+	}
+	for end := time.Now().Add(peer.Patient); ; time.Sleep(20 * time.Millisecond) { // some have been idle long enough by then
+		p := peer.Dial(t, d.resp)
+		p.Command("PING")
+		if m, err := p.Try(); err == nil && m[0] == "+PONG" {
+			break
+		} else if time.Now().After(end) {
+			t.Fatalf("no room is made: %v %v", m, err)
+		}
+		p.NC.Close()
+	}
+	ended := 0
+	for _, nc := range idle {
+		nc.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if _, err := nc.Read(make([]byte, 1)); err == io.EOF || err != nil && !os.IsTimeout(err) {
+			ended++
+		}
+	}
+	if ended == 0 {
+		t.Error("no idle HTTP connection was closed")
+	}
+	if n := d.Conns.Len(); n > d.Conns.Most() {
+		t.Errorf("%d connections, %d may be held", n, d.Conns.Most())
+	}
+}
+
+// With every place held by a check that is open, a newcomer is told so and nothing is closed.
+func TestForwardAuthBusyConnectionsStay(t *testing.T) {
+	w := start(t, 1, "sockets = 2048", "sockets = 10")
+	d := w.doors[0]
+	spend(t, d, "small", 6)
+	resume := w.counter.Stall()
+	defer resume()
+	codes := make(chan int, 16)
+	n := d.Conns.Most()
+	for d.Conns.Len() > 0 { // those of spend end with their clients
+		for _, h := range budget.Of[budget.Holder](d.Conns) {
+			h.GiveWay()
+		}
+		time.Sleep(time.Millisecond)
+	}
+	for i := range n {
+		go func() {
+			code, _, _, err := try(client(), d.http+"/long", append(bearer("small"), "X-Request-Id", fmt.Sprint(i))...)
+			if err != nil {
+				code = -1
+			}
+			codes <- code
+		}()
+	}
+	for end := time.Now().Add(peer.Patient); d.Conns.Len() < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the checks do not come")
+		}
+	}
+	if code, _, _, err := try(client(), d.http+"/long", bearer("free")...); err == nil && code != 503 {
+		t.Errorf("beyond the bound: %d", code)
+	}
+	p := peer.Dial(t, d.resp)
+	p.WantsPrefix("-BUSY")
+	resume()
+	for range n {
+		if code := <-codes; code != 200 && code != 429 && code != 503 {
+			t.Errorf("an open check was answered %d", code)
+		}
+	}
+}
+
+// keyPair makes a certificate signed by another, or by itself, and writes both files.
+func keyPair(t *testing.T, dir, name string, ca *tls.Certificate, isCA bool) tls.Certificate {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tmpl := &x509.Certificate{SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), IsCA: isCA, BasicConstraintsValid: true,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	parent, signer := tmpl, any(key)
+	if ca != nil {
+		parent, signer = ca.Leaf, ca.PrivateKey
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, parent, &key.PublicKey, signer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, _ := x509.MarshalPKCS8PrivateKey(key)
+	cert, secret := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: raw})
+	os.WriteFile(filepath.Join(dir, name+".pem"), cert, 0o600)
+	os.WriteFile(filepath.Join(dir, name+".key"), secret, 0o600)
+	pair, err := tls.X509KeyPair(cert, secret)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pair
+}
+
+// Over TLS only a proxy that shows a listed certificate of the right authority may ask, by HTTP/1.1 or HTTP/2.
+func TestForwardAuthClientCertificates(t *testing.T) {
+	dir := t.TempDir()
+	ca, otherCA := keyPair(t, dir, "ca", nil, true), keyPair(t, dir, "otherca", nil, true)
+	keyPair(t, dir, "server", &ca, false)
+	w := start(t, 1, `trusted = ["127.0.0.1"]`, fmt.Sprintf("trusted_certificates = [\"proxy\"]\ntls = {certificate=%q, key=%q, client_ca=%q}",
+		dir+"/server.pem", dir+"/server.key", dir+"/ca.pem"))
+	url := "https://" + w.doors[0].Addr("http").String() + "/traefik"
+	roots := x509.NewCertPool()
+	roots.AddCert(ca.Leaf)
+	for _, h2 := range []bool{false, true} {
+		for name, c := range map[string]struct {
+			certs []tls.Certificate
+			want  int // 0: no connection
+		}{
+			"listed":            {[]tls.Certificate{keyPair(t, dir, "proxy", &ca, false)}, 200},
+			"not listed":        {[]tls.Certificate{keyPair(t, dir, "another", &ca, false)}, 403},
+			"none":              {nil, 403},
+			"another authority": {[]tls.Certificate{keyPair(t, dir, "proxy", &otherCA, false)}, 0},
+		} {
+			tr := &http.Transport{ForceAttemptHTTP2: h2, TLSClientConfig: &tls.Config{RootCAs: roots}}
+			if c.certs != nil { // shown whatever authorities the server names
+				tr.TLSClientConfig.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &c.certs[0], nil }
+			}
+			code, _, _, err := try(&http.Client{Transport: tr, Timeout: peer.Patient}, url, bearer("free")...)
+			if code != c.want || (err != nil) != (c.want == 0) {
+				t.Errorf("%s (HTTP/2 %v): %d %v", name, h2, code, err)
+			}
+			tr.CloseIdleConnections()
+		}
+	}
+	if code, _, _, err := try(client(), strings.Replace(url, "https", "http", 1), bearer("free")...); err == nil && code < 400 {
+		t.Errorf("without TLS: %d", code)
+	}
+}
+
+// A front door that has served, been flooded and shut down leaves no goroutine behind.
+func TestForwardAuthLeavesNothingBehind(t *testing.T) {
+	ignore := goleak.IgnoreCurrent()
+	w := start(t, 1)
+	for _, c := range []*http.Client{client(), h2c()} {
+		for range 20 {
+			ask(t, c, w.doors[0].http+"/traefik", bearer("free")...)
+		}
+		c.CloseIdleConnections()
+	}
+	half, err := net.Dial("tcp", w.doors[0].Addr("http").String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(half, "GET / HT")
+	p := peer.Dial(t, w.doors[0].resp)
+	p.Command("Q.ASK", customers["free"], "1", "c=evaluate,t=open,d=2000,units=1,spread=1,first=0")
+	p.Message()
+	w.doors[0].stop()
+	<-w.doors[0].ended
+	half.Close()
+	p.NC.Close()
+	for _, s := range w.servers {
+		s.Close()
+	}
+	w.counter.Close()
+	w.agent.Close()
+	goleak.VerifyNone(t, ignore)
+}
--- a/internal/service/hosted/hosted.go
+++ b/internal/service/hosted/hosted.go
@@ -32,7 +32,7 @@
 }
 
 // New makes the service and opens its listeners; it takes no connection before Run.
-func New(cfg *Config, log *slog.Logger) (s *Service, err error) {
+func New(cfg *Config, log *slog.Logger) (_ *Service, err error) {
 	c, err := service.NewCore(cfg.Node, log)
 	if err != nil {
 		return nil, err
@@ -41,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s = &Service{Core: c, Shared: shared, cfg: cfg, log: log, addrs: map[string]net.Addr{}}
+	s := &Service{Core: c, Shared: shared, cfg: cfg, log: log, addrs: map[string]net.Addr{}}
 	defer func() {
 		if err != nil {
 			for _, f := range s.fronts {
