Module: keep a part of the ceiling for leave, by its part of the demand

Found by the tryout program: under a flood over RESP2 the line for the ceiling takes each unit as it fills, and checks, which join no line, were always refused. Now some of this door's share is kept for them as their part of the demand asks; with none it is as before.

--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,259 @@
+// Command measure takes the figures of docs/measured.md. Servers run as processes of their own with one core's worth of
+// threads; the load comes from this one. Each figure is a ratio within one run.
+//
+//	measure forward-auth [-for 5s] [-rounds 3]
+package main
+
+import (
+	"bufio"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"runtime"
+	"runtime/pprof"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"snowhall/internal/service/hosted"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	if len(args) == 0 {
+		return errors.New("usage: measure forward-auth [-for 5s] [-rounds 3]")
+	}
+	switch args[0] {
+	case "forward-auth":
+		fs := flag.NewFlagSet(args[0], flag.ContinueOnError)
+		lasts := fs.Duration("for", 5*time.Second, "length of each stretch")
+		rounds := fs.Int("rounds", 3, "how often each is measured, in turns")
+		if err := fs.Parse(args[1:]); err != nil {
+			return err
+		}
+		return forwardAuth(*lasts, *rounds)
+	case "serve-bare":
+		return serveBare()
+	case "serve-door":
+		return serveDoor(args[1])
+	}
+	return fmt.Errorf("%q is not known", args[0])
+}
+
+// child is a server in a process of its own.
+type child struct {
+	cmd  *exec.Cmd
+	in   io.WriteCloser
+	out  *bufio.Reader
+	addr map[string]string
+}
+
+// spawn starts this program again as a server with one thread for Go code. It says name=address for each listener.
+func spawn(args ...string) (*child, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	c := &child{cmd: exec.Command(self, args...), addr: map[string]string{}}
+	c.cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+	c.cmd.Stderr = os.Stderr
+	if c.in, err = c.cmd.StdinPipe(); err != nil {
+		return nil, err
+	}
+	out, err := c.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	c.out = bufio.NewReader(out)
+	if err := c.cmd.Start(); err != nil {
+		return nil, err
+	}
+	for {
+		line, err := c.out.ReadString('\n')
+		if err != nil {
+			return nil, fmt.Errorf("the server did not start: %w", err)
+		}
+		if line = strings.TrimSpace(line); line == "ready" {
+			return c, nil
+		}
+		name, addr, _ := strings.Cut(line, "=")
+		c.addr[name] = addr
+	}
+}
+
+// use is what a server has used since it started.
+type use struct {
+	cpu     time.Duration
+	mallocs uint64
+	rss     int64 // bytes
+}
+
+func (c *child) use() (u use, err error) {
+	if _, err = io.WriteString(c.in, "use\n"); err == nil {
+		_, err = fmt.Fscanf(c.out, "%d %d %d\n", &u.cpu, &u.mallocs, &u.rss)
+	}
+	return u, err
+}
+
+func (c *child) end() {
+	c.in.Close()
+	c.cmd.Wait()
+}
+
+// answerUse serves the parent's questions until it closes the pipe.
+func answerUse() {
+	fmt.Println("ready")
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+		var r syscall.Rusage
+		syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		fmt.Println(r.Utime.Nano()+r.Stime.Nano(), m.Mallocs, resident())
+	}
+}
+
+func resident() int64 {
+	b, _ := os.ReadFile("/proc/self/statm")
+	var size, rss int64
+	fmt.Sscan(string(b), &size, &rss)
+	return rss * int64(os.Getpagesize())
+}
+
+// serveBare answers all with 200 and nothing else.
+func serveBare() error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(http.StatusOK) }))
+	fmt.Printf("http=%s\n", ln.Addr())
+	answerUse()
+	return nil
+}
+
+// serveDoor runs a gapgapd.
+func serveDoor(file string) error {
+	cfg, err := hosted.Load(file)
+	if err != nil {
+		return err
+	}
+	s, err := hosted.New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		return err
+	}
+	go s.Serve(ctxForever{})
+	for _, l := range cfg.Listeners {
+		fmt.Printf("%s=%s\n", l.Name, s.Addr(l.Name))
+	}
+	for !s.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	if name := os.Getenv("MEASURE_PROFILE"); name != "" { // a CPU profile of the whole run
+		f, err := os.Create(name)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		pprof.StartCPUProfile(f)
+		defer pprof.StopCPUProfile()
+	}
+	answerUse()
+	return nil
+}
+
+// ctxForever is a context that never ends.
+type ctxForever struct{}
+
+func (ctxForever) Deadline() (time.Time, bool) { return time.Time{}, false }
+func (ctxForever) Done() <-chan struct{}       { return nil }
+func (ctxForever) Err() error                  { return nil }
+func (ctxForever) Value(any) any               { return nil }
+
+// load is what a number of connections got done.
+type load struct {
+	done, odd int
+	took      []time.Duration
+}
+
+func (l *load) quantile(q float64) time.Duration {
+	if len(l.took) == 0 {
+		return 0
+	}
+	slices.Sort(l.took)
+	return l.took[min(len(l.took)-1, int(q*float64(len(l.took))))]
+}
+
+// talk sends requests on one connection, one at a time, until the end: as fast as answers come, or at times that lie pause
+// apart; a request that could not be sent in time counts its latency from then.
+func talk(addr string, next func(n int) []byte, read func(*bufio.Reader) (bool, error), pause, offset time.Duration, end time.Time) (l load, err error) {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		return l, err
+	}
+	defer nc.Close()
+	in := bufio.NewReader(nc)
+	due := time.Now().Add(offset)
+	for n := 0; time.Now().Before(end); n++ {
+		from := time.Now()
+		if pause > 0 {
+			time.Sleep(due.Sub(from))
+			from = due
+			due = due.Add(pause)
+		}
+		if _, err := nc.Write(next(n)); err != nil {
+			return l, err
+		}
+		ok, err := read(in)
+		if err != nil {
+			return l, err
+		}
+		if l.done++; !ok {
+			l.odd++
+		}
+		l.took = append(l.took, time.Since(from))
+	}
+	return l, nil
+}
+
+// drive talks on many connections and adds up.
+func drive(conns int, addr string, next func(conn, n int) []byte, read func(*bufio.Reader) (bool, error), rate float64, lasts time.Duration) (sum load, err error) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	pause := time.Duration(0)
+	if rate > 0 {
+		pause = time.Duration(float64(conns) / rate * float64(time.Second))
+	}
+	end := time.Now().Add(lasts)
+	for i := range conns {
+		wg.Go(func() {
+			l, e := talk(addr, func(n int) []byte { return next(i, n) }, read, pause, pause*time.Duration(i)/time.Duration(conns), end)
+			mu.Lock()
+			defer mu.Unlock()
+			sum.done += l.done
+			sum.odd += l.odd
+			sum.took = append(sum.took, l.took...)
+			err = errors.Join(err, e)
+		})
+	}
+	wg.Wait()
+	return sum, err
+}
+
+func median(v []float64) float64 {
+	v = slices.Sorted(slices.Values(v))
+	return v[len(v)/2]
+}
--- /dev/null
+++ b/cmd/tryout/main.go
@@ -0,0 +1,188 @@
+// Command tryout starts a front door with a RESP2 listener and one for HTTP authorization checks, and stand-ins for all
+// that it needs: flag servers, the quota counter and discovery, on loopback. It prints lines to try by hand. With -once
+// it tries them itself and ends.
+package main
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"snowhall/internal/service/hosted"
+	"snowhall/internal/standin/catalog"
+	"snowhall/internal/standin/flagserver"
+	"snowhall/internal/standin/quota"
+)
+
+const (
+	key      = "tryout"
+	customer = "00000000b4d65521"
+)
+
+const config = `
+[node]
+name = "tryout"
+discovery = %q
+counter = %q
+[limits]
+retry_after = "5s"
+probe = true
+[[class]]
+name = "evaluate"
+effect = "safe"
+worth = 1.0
+aim = "1s"
+give_up = "3s"
+[[plan]]
+name = "business"
+rate = 5.0
+burst = 10.0
+over_worth = 0.2
+ceiling_rate = 10.0
+ceiling_depth = 20.0
+[[listener]]
+name = "resp2"
+protocol = "resp2"
+address = %q
+[[listener]]
+name = "checks"
+protocol = "authz"
+address = %q
+trusted = ["127.0.0.0/8"]
+[[listener.check]]
+path = "/check"
+dialect = "traefik"
+repeat = "nonce"
+default_class = "evaluate"
+[[account]]
+name = "acme"
+customer = %q
+plan = "business"
+keys = ["%x"]
+`
+
+func main() {
+	resp := flag.String("resp2", "127.0.0.1:6379", "`address` of the RESP2 listener")
+	checks := flag.String("checks", "127.0.0.1:9090", "`address` of the listener for checks")
+	once := flag.Bool("once", false, "try both once and end")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, *resp, *checks, *once, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "tryout:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, resp, checks string, once bool, out io.Writer) error {
+	var list []catalog.Endpoint
+	for i := range 3 {
+		s, err := flagserver.Start(flagserver.Config{Delay: 5 * time.Millisecond, Value: fmt.Sprint("a flag value from s-", i)})
+		if err != nil {
+			return err
+		}
+		defer s.Close()
+		list = append(list, catalog.Serving(fmt.Sprint("s-", i), s.Addr()))
+	}
+	agent, err := catalog.Start(list...)
+	if err != nil {
+		return err
+	}
+	defer agent.Close()
+	counter, err := quota.Start()
+	if err != nil {
+		return err
+	}
+	defer counter.Close()
+	cfg, err := hosted.Parse("tryout", fmt.Appendf(nil, config, agent.Addr(), counter.Addr(), resp, checks, customer, sha256.Sum256([]byte(key))))
+	if err != nil {
+		return err
+	}
+	s, err := hosted.New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.Serve(ctx)
+	}()
+	resp, checks = s.Addr("resp2").String(), s.Addr("checks").String()
+	host, port, _ := net.SplitHostPort(resp)
+	fmt.Fprintf(out, `A check, as a proxy asks it (repeat it fast, and it is refused with Retry-After):
+
+  curl -i -H 'Authorization: Bearer %s' -H 'X-Forwarded-Method: GET' -H 'X-Forwarded-Host: flags.example.org' \
+    -H 'X-Forwarded-Uri: /v1/flags' http://%s/check
+
+The same account over RESP2, on the same quota:
+
+  exec 3<>/dev/tcp/%s/%s; printf '%s' >&3; timeout 1 cat <&3
+
+`, key, checks, host, port, strings.NewReplacer("\r", `\r`, "\n", `\n`).Replace(command("1")))
+	if once {
+		if err := try(out, resp, checks); err != nil {
+			return err
+		}
+		stop()
+	}
+	<-ended
+	return nil
+}
+
+// command is a request over RESP2.
+func command(id string) string {
+	s := "*4\r\n"
+	for _, a := range []string{"Q.ASK", customer, id, "c=evaluate,t=business,d=1000,units=1,spread=1,first=0"} {
+		s += fmt.Sprintf("$%d\r\n%s\r\n", len(a), a)
+	}
+	return s
+}
+
+// try makes a check and a request, and again until both have passed: a fresh front door's ceiling starts empty.
+func try(out io.Writer, resp, checks string) error {
+	code, line := 0, ""
+	for end := time.Now().Add(10 * time.Second); code != http.StatusOK || !strings.HasPrefix(line, "*") && !strings.HasPrefix(line, "$"); {
+		if time.Now().After(end) {
+			return fmt.Errorf("a check was answered %d, a request %q", code, line)
+		}
+		req, err := http.NewRequest(http.MethodGet, "http://"+checks+"/check", nil)
+		if err != nil {
+			return err
+		}
+		req.Header = http.Header{"Authorization": {"Bearer " + key}, "X-Forwarded-Method": {"GET"},
+			"X-Forwarded-Host": {"flags.example.org"}, "X-Forwarded-Uri": {"/v1/flags"}}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return err
+		}
+		res.Body.Close()
+		code = res.StatusCode
+		nc, err := net.Dial("tcp", resp)
+		if err != nil {
+			return err
+		}
+		nc.SetDeadline(time.Now().Add(5 * time.Second))
+		io.WriteString(nc, command(fmt.Sprint(time.Now().UnixNano())))
+		line, err = bufio.NewReader(nc).ReadString('\n')
+		nc.Close()
+		if err != nil {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	fmt.Fprintf(out, "the check was answered %d, the request %q\n", code, line)
+	return nil
+}
--- a/door.go
+++ b/door.go
@@ -47,6 +47,7 @@
 	fullBy      = 0.7                     // factor for a refusal or a broken connection
 	leaseAhead  = 1500 * time.Millisecond // demand that one lease should cover: few calls
 	atOnceRoom  = 0.5                     // attempts that other doors may have out beyond their mean
+	leaveLeast  = 0.01                    // part of the demand from which some of the ceiling is kept for leave
 	ceilWait    = 0.3                     // part of its time that a request waits for the ceiling's share
 	askAhead    = 300 * time.Millisecond  // demand the tokens left must cover, else the next is asked for
 	demandOver  = 2 * time.Second         // demand is averaged over this
@@ -135,6 +136,9 @@
 	r.c.usedAt = d.now
 	gap := (d.now - r.c.demandAt).Seconds() / demandOver.Seconds()
 	r.c.demand = r.c.demand*math.Exp(-gap) + r.units/demandOver.Seconds()
+	if r.c.leave *= math.Exp(-gap); r.grant {
+		r.c.leave += r.units / demandOver.Seconds()
+	}
 	r.c.demandAt = d.now
 	// A line for the ceiling must stay short, or each that still goes out of it is nearly late; and what is
 	// worth less leaves the room to what is worth more. What asks for leave only has no line to join.
@@ -220,7 +224,7 @@
 	c, p := r.c, &d.set.Plans[r.plan]
 	late := (d.now-r.at).Seconds()+d.latency(r, nil) >= r.tau.Seconds()*margin
 	full := p.AtOnce > 0 && c.live >= d.atOnce(r, p)
-	if short := r.units + c.ceilQueued - d.ceiling(c, p); full || short > 0 {
+	if short := r.units - d.room(r, p); full || short > 0 {
 		fills := short * c.doors / p.CeilingRate // seconds
 		if late || r.grant || !full && p.OverWorth > p.OverCost && fills > r.tau.Seconds()*ceilWait {
 			return beyond
@@ -262,7 +266,7 @@
 func (d *Door) beyond(r *request) {
 	p := &d.set.Plans[r.plan]
 	full := p.AtOnce > 0 && r.c.live >= d.atOnce(r, p)
-	if p.OverWorth <= p.OverCost || full || d.ceiling(r.c, p)-r.c.ceilQueued < r.units {
+	if p.OverWorth <= p.OverCost || full || d.room(r, p) < r.units {
 		d.refuse(r, d.refill(r.c, p, r.units))
 		return
 	}
@@ -397,10 +401,35 @@
 		return math.Inf(1)
 	}
 	c.ceil += p.CeilingRate / c.doors * (d.now - c.ceilAt).Seconds()
-	c.ceil, c.ceilAt = min(c.ceil, p.CeilingDepth/c.doors), d.now
+	c.ceil = min(c.ceil, p.CeilingDepth/c.doors)
+	if g := c.leaves(); g > 0 {
+		c.kept += g * p.CeilingRate / c.doors * (d.now - c.ceilAt).Seconds()
+		c.kept = max(0, min(c.kept, c.ceil, max(1, g*p.CeilingDepth/c.doors)))
+	} else {
+		c.kept = 0
+	}
+	c.ceilAt = d.now
 	return c.ceil
 }
 
+// leaves is the part of a customer's demand that asks for leave only.
+func (c *customer) leaves() float64 {
+	if c.leave < leaveLeast*c.demand {
+		return 0
+	}
+	return min(1, c.leave/c.demand)
+}
+
+// room is how much of this door's share of the ceiling a request can have now. What asks for leave joins no
+// line, those would take all of the share under a flood: by its part of the demand some is kept.
+func (d *Door) room(r *request, p *Plan) float64 {
+	have := d.ceiling(r.c, p)
+	if r.grant {
+		return max(r.c.kept, have-r.c.ceilQueued)
+	}
+	return have - r.c.kept - r.c.ceilQueued
+}
+
 // latency is the time an answer takes, by recent ones: the class's mean times the server's slowness.
 func (d *Door) latency(r *request, s *server) float64 {
 	if r.grant {
@@ -492,6 +521,7 @@
 		return
 	}
 	r.c.ceil -= r.units
+	r.c.kept = max(0, r.c.kept-r.units)
 	d.release(r)
 	r.granted, r.holdUntil = true, d.now+r.hold
 	d.act(Grant{r.id})
--- a/grant_test.go
+++ b/grant_test.go
@@ -229,3 +229,44 @@
 		}
 	}
 }
+
+// Under a flood of requests that join the line for the ceiling, what asks for leave still gets its part of it, by its
+// part of the demand; and what does not ask for leave loses nothing where nothing does.
+func TestGrantsGetTheirPartOfTheCeiling(t *testing.T) {
+	for _, share := range []float64{0, 0.05, 0.5, 0.95} {
+		set := basic()
+		set.Doors, set.Counter = 1, false
+		set.Plans[1].OverCost = 0
+		d := open(t, set, backends(6)...)
+		rng := rand.New(rand.NewPCG(5, uint64(share*100)))
+		sends, grants := 0.0, 0.0
+		for tick := range 6000 { // 30 s at 200 a second, ten times the ceiling
+			now := time.Duration(tick) * 5 * ms
+			r := ask(uint64(tick), 1, 1)
+			r.Left = time.Second
+			if r.Grant = rng.Float64() < share; r.Grant {
+				r.Left = 100 * ms
+			}
+			todo := d.Step(now, []Event{r, Timer{0}})
+			for len(todo) > 0 {
+				var evs []Event
+				for _, a := range todo {
+					switch a := a.(type) {
+					case Grant:
+						grants++
+					case Send:
+						sends++
+						evs = append(evs, served(a, 0, 20*ms))
+					}
+				}
+				if todo = nil; len(evs) > 0 {
+					todo = append(todo, d.Step(now, evs)...)
+				}
+			}
+		}
+		total := set.Plans[1].CeilingRate * 30
+		if got := grants / (grants + sends); grants+sends < 0.8*total || got < 0.7*share || got > 0.1+1.2*share {
+			t.Errorf("%v of the demand asks for leave: %.0f granted and %.0f sent of %.0f", share, grants, sends, total)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -87,6 +87,7 @@
 	ceil             float64
 	ceilAt           time.Duration
 	ceilQueued       float64
+	leave, kept      float64 // units a second of what wants leave only; of ceil, what is kept for that
 	live             int
 	waiting          []*request
 	grants           int           // of them, those that want leave only
@@ -423,13 +424,20 @@
 	if p.CeilingRate == 0 {
 		return 0
 	}
-	short := r.units + r.c.ceilQueued - d.ceiling(r.c, p)
+	short := r.units - d.room(r, p)
+	if r.grant && r.c.kept >= r.units {
+		return 0
+	}
 	for _, o := range r.c.waiting {
 		if !o.ended {
 			short += o.units
 		}
 	}
-	return max(0, short) * r.c.doors / p.CeilingRate
+	rate := p.CeilingRate / r.c.doors
+	if !r.grant {
+		rate *= max(0.1, 1-r.c.leaves())
+	}
+	return max(0, short) / rate
 }
 
 // usable says whether new work may go to a server on the ordinary path.
