--- a/cmd/gapgapd/main.go
+++ b/cmd/gapgapd/main.go
@@ -22,6 +22,10 @@
 	"snowhall/internal/service/hosted"
 )
 
+// gcPercent is how much garbage may gather for each live byte: the heap has few MB, so collections would else come often.
+// The memory limit makes them come sooner where that is needed.
+const gcPercent = 400
+
 const usage = "usage: gapgapd run FILE | gapgapd check FILE | gapgapd hash"
 
 func main() {
@@ -61,6 +65,7 @@
 		return err
 	}
 	if cfg.Node.MemoryMB > 0 {
+		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(cfg.Node.MemoryMB) << 20 * 3 / 4) // the rest is for stacks, sockets and the kernel
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"runtime/debug"
 	"runtime/pprof"
 	"slices"
 	"strings"
@@ -139,6 +140,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(400)
 	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(http.StatusOK) }))
 	fmt.Printf("http=%s\n", ln.Addr())
 	answerUse()
@@ -151,6 +153,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(400) // as cmd/gapgapd has it with a memory limit; the bare server has it too
 	s, err := hosted.New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		return err
--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -41,7 +41,10 @@
 }
 
 // Names are those of the module's classes and plans, in the order of their indices.
-type Names struct{ Classes, Plans []string }
+type Names struct {
+	Classes, Plans []string
+	Policies       map[string][]string // by plan: the field that tells of its quota; nil: none
+}
 
 // Account is a compiled Spec.
 type Account struct {
@@ -49,6 +52,9 @@
 	Plan, Doors              int
 	Hold                     time.Duration
 	classes                  []bool // by index; nil: all
+
+	// Said are header values that answers repeat for the account.
+	Said struct{ Name, Plan, Policy []string }
 }
 
 // Entitled says whether the account may use a class.
@@ -124,6 +130,10 @@
 		return fault(fmt.Errorf("is that of account %q too", o.Name), "account[%d].customer", i)
 	}
 	a := &Account{Name: s.Name, Customer: id, PlanName: s.Plan, Doors: s.Doors, Hold: s.Hold}
+	a.Said.Name, a.Said.Plan = []string{s.Name}, []string{s.Plan}
+	if p := names.Policies; p != nil && s.Plan != "" {
+		a.Said.Policy = p[s.Plan]
+	}
 	if a.Plan = slices.Index(names.Plans, s.Plan); a.Plan < 0 {
 		return fault(fmt.Errorf("no plan is named %q", s.Plan), "account[%d].plan", i)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -82,6 +82,7 @@
 
 	requests   map[uint64]*Request
 	open       map[string]bool // the clients' ids of requests without a final answer
+	grants     []*Request      // taken since the last Step
 	lastID     uint64
 	upstream   Upstream
 	counter    Counter
@@ -224,6 +225,12 @@
 			c.act(a)
 		}
 	}
+	for i, r := range c.grants {
+		if c.grants[i] = nil; !r.ended {
+			c.watch(r)
+		}
+	}
+	c.grants = c.grants[:0]
 }
 
 func (c *Core) act(a snowhall.Action) {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -103,15 +103,24 @@
 	c.lastID++
 	r.id, r.due = c.lastID, r.At+r.Wait
 	c.requests[r.id] = r
-	// The module answers in time by its own timers. Should it not, the client still hears back in time.
+	if r.Grant { // mostly answered by the next Step, which sets the timer for the others
+		c.grants = append(c.grants, r)
+	} else {
+		c.watch(r)
+	}
+	c.Tell(snowhall.Request{ID: r.id, Class: r.Class, Plan: r.Plan, Customer: r.Customer,
+		Left: max(0, r.due-c.Coarse()), Units: r.Units, Doors: r.Doors, Retry: r.Retry, Grant: r.Grant, Hold: r.Hold})
+}
+
+// watch sees to it that a request is answered in time. The module does that by its own timers; should it not, the client
+// still hears back.
+func (c *Core) watch(r *Request) {
 	r.overdue = c.At(r.due, func() {
 		c.log.Error("the module left a request unanswered", "id", r.id)
 		c.leave(r)
 		c.Tell(snowhall.Gone{ID: r.id})
 		r.Caller.Answer(Answer{Verdict: Overdue})
 	})
-	c.Tell(snowhall.Request{ID: r.id, Class: r.Class, Plan: r.Plan, Customer: r.Customer,
-		Left: max(0, r.due-c.Now()), Units: r.Units, Doors: r.Doors, Retry: r.Retry, Grant: r.Grant, Hold: r.Hold})
 }
 
 // Gone ends the request of a client that has left. Only the loop goroutine may call it.
--- a/internal/front/authz/answer.go
+++ b/internal/front/authz/answer.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
 
+	"snowhall"
 	"snowhall/internal/account"
 	"snowhall/internal/core"
 )
@@ -46,9 +48,9 @@
 func (a answer) allowed(o outcome) {
 	h := a.w.Header()
 	a.who(h)
-	h[HeaderRequestID] = []string{o.id}
+	h[HeaderRequestID] = []string{a.fr.s.requestID(o.id)}
 	a.quota(h, o)
-	h["Content-Length"] = []string{"0"}
+	h["Content-Length"] = zero
 	a.w.WriteHeader(http.StatusOK)
 }
 
@@ -86,8 +88,7 @@
 
 func (a answer) who(h http.Header) {
 	if a.acct != nil {
-		h[HeaderAccount] = []string{a.acct.Name}
-		h[HeaderPlan] = []string{a.acct.PlanName}
+		h[HeaderAccount], h[HeaderPlan] = a.acct.Said.Name, a.acct.Said.Plan
 	}
 }
 
@@ -98,23 +99,31 @@
 	h[HeaderRetryAfterMS] = []string{strconv.FormatInt(int64(ms), 10)}
 }
 
+// Policies are the values of RateLimit-Policy for plans that have a quota: the burst, over the time in which it fills.
+func Policies(names []string, plans []snowhall.Plan) map[string][]string {
+	all := map[string][]string{}
+	for i, p := range plans {
+		if p.Rate > 0 && p.Burst > 0 {
+			all[names[i]] = []string{fmt.Sprintf(`"%s";q=%d;w=%d`, names[i], int64(p.Burst), max(1, int64(math.Ceil(p.Burst/p.Rate))))}
+		}
+	}
+	return all
+}
+
+var zero = []string{"0"}
+
 // quota tells how the account stands, in the fields of draft-ietf-httpapi-ratelimit-headers: the plan's burst over the
 // time in which it fills, what is left of it, and when it is full again.
 func (a answer) quota(h http.Header, o outcome) {
 	if a.acct == nil || !o.quota.Told {
 		return
 	}
-	p := &a.fr.core.Settings.Plans[a.acct.Plan]
-	if p.Rate <= 0 || p.Burst <= 0 {
+	if a.acct.Said.Policy == nil {
 		return
 	}
-	window := int64(math.Ceil(p.Burst / p.Rate))
-	b := make([]byte, 0, 64)
-	b = append(append(append(b, '"'), a.acct.PlanName...), `";q=`...)
-	b = strconv.AppendInt(b, int64(p.Burst), 10)
-	b = strconv.AppendInt(append(b, ";w="...), max(1, window), 10)
-	h["Ratelimit-Policy"] = []string{string(b)}
-	b = append(append(append(b[:0], '"'), a.acct.PlanName...), `";r=`...)
+	h["Ratelimit-Policy"] = a.acct.Said.Policy
+	var room [96]byte
+	b := append(append(append(room[:0], '"'), a.acct.PlanName...), `";r=`...)
 	b = strconv.AppendInt(b, int64(o.quota.Left), 10)
 	b = strconv.AppendInt(append(b, ";t="...), int64(math.Ceil(o.quota.Full.Seconds())), 10)
 	h["Ratelimit"] = []string{string(b)}
--- a/internal/front/authz/check.go
+++ b/internal/front/authz/check.go
@@ -168,7 +168,7 @@
 }
 
 // discard reads a body away, up to the bound. A request whose body has not come whole is not taken.
-func (fr *Front) discard(r *http.Request) (int, string) {
+func (fr *Front) discard(w http.ResponseWriter, r *http.Request) (int, string) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return 0, ""
 	}
@@ -176,6 +176,9 @@
 	if r.ContentLength > fr.cfg.MaxBody {
 		return http.StatusRequestEntityTooLarge, long
 	}
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(time.Now().Add(fr.cfg.HeaderTimeout))
+	defer rc.SetReadDeadline(time.Time{})
 	switch _, err := io.CopyN(io.Discard, r.Body, fr.cfg.MaxBody+1); {
 	case err == nil:
 		return http.StatusRequestEntityTooLarge, long
--- a/internal/front/authz/conn.go
+++ b/internal/front/authz/conn.go
@@ -16,9 +16,13 @@
 type conn struct {
 	net.Conn
 	fr      *Front
-	trusted bool         // by its address
+	trusted bool // by its address
+	born    time.Duration
 	open    atomic.Int32 // requests that a handler has
 	last    atomic.Int64 // when bytes last went by, on the loop's clock
+	begun   atomic.Int64 // when the first bytes came that no handler has yet; 0: there are none
+	came    atomic.Int64 // bytes that came since a handler began last
+	multi   atomic.Bool  // it speaks HTTP/2: frames come that belong to no check
 	spoken  atomic.Bool
 
 	mu     sync.Mutex
@@ -35,14 +39,47 @@
 		if c.closed {
 			return 0, net.ErrClosed
 		}
-		c.last.Store(int64(c.fr.core.Now()))
+		now := int64(c.fr.core.Coarse())
+		c.last.Store(now)
+		c.came.Add(int64(n))
+		if c.open.Load() == 0 {
+			c.begun.CompareAndSwap(0, now)
+		}
 	}
 	return n, err
 }
 
+// handled says that a handler has a request, and how many bytes came for it.
+func (c *conn) handled(multi bool) int64 {
+	c.open.Add(1)
+	c.begun.Store(0)
+	if !c.spoken.Load() {
+		c.spoken.Store(true)
+		c.multi.Store(multi)
+	}
+	return c.came.Swap(0)
+}
+
+// late says that the connection has been given its time: a request that has begun must come whole within that for
+// headers, and so must the first one of a connection; between two checks the idle time holds. net/http's own deadlines
+// do the same at the cost of three timers a check.
+func (c *conn) late(now time.Duration) bool {
+	if c.open.Load() > 0 {
+		return false
+	}
+	last, begun := time.Duration(c.last.Load()), time.Duration(c.begun.Load())
+	if !c.spoken.Load() {
+		return now-c.born > c.fr.cfg.HeaderTimeout
+	}
+	if begun > 0 && !c.multi.Load() && now-begun > c.fr.cfg.HeaderTimeout {
+		return true
+	}
+	return now-last > c.fr.cfg.IdleTimeout
+}
+
 // Write implements [net.Conn].
 func (c *conn) Write(b []byte) (int, error) {
-	c.last.Store(int64(c.fr.core.Now()))
+	c.last.Store(int64(c.fr.core.Coarse()))
 	return c.Conn.Write(b)
 }
 
@@ -101,7 +138,8 @@
 			continue
 		}
 		c := &conn{Conn: nc, fr: l.fr, trusted: l.fr.cfg.trusts(nc.RemoteAddr())}
-		c.last.Store(int64(l.fr.core.Now()))
+		c.born = l.fr.core.Now()
+		c.last.Store(int64(c.born))
 		l.fr.core.Conns.Add(c)
 		return c, nil
 	}
--- a/internal/front/authz/front.go
+++ b/internal/front/authz/front.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"snowhall/internal/budget"
@@ -28,7 +27,6 @@
 	ln      net.Listener
 	tls     *tls.Config
 	srv     *http.Server
-	timers  sync.Pool
 	drained chan struct{} // closed when a shutdown is complete; nil: none has begun
 }
 
@@ -36,16 +34,14 @@
 // HTTP/2 (with prior knowledge, RFC 9113, 3.3). The Config must have passed its Check.
 func New(s *Shared, cfg Config, ln net.Listener, tlsConfig *tls.Config, log *slog.Logger) *Front {
 	fr := &Front{core: s.core, s: s, cfg: cfg, log: log.With("listener", cfg.Name), ln: ln, tls: tlsConfig}
-	fr.timers.New = func() any { return time.NewTimer(time.Hour) }
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(tlsConfig != nil)
 	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
 	fr.srv = &http.Server{Handler: fr, TLSConfig: tlsConfig, Protocols: protocols,
-		ReadHeaderTimeout: cfg.HeaderTimeout, ReadTimeout: 2 * cfg.HeaderTimeout, WriteTimeout: 0,
-		IdleTimeout: cfg.IdleTimeout, MaxHeaderBytes: cfg.MaxHeaderBytes,
-		HTTP2:    &http.HTTP2Config{MaxConcurrentStreams: cfg.MaxStreams},
-		ErrorLog: slog.NewLogLogger(fr.log.Handler(), slog.LevelDebug),
+		MaxHeaderBytes: cfg.MaxHeaderBytes, // times are the connections' own, see conn.late
+		HTTP2:          &http.HTTP2Config{MaxConcurrentStreams: cfg.MaxStreams},
+		ErrorLog:       slog.NewLogLogger(fr.log.Handler(), slog.LevelDebug),
 		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, own(nc))
 		}}
@@ -68,6 +64,8 @@
 
 // Serve implements [core.Front].
 func (fr *Front) Serve() {
+	fr.s.started.Do(func() { go fr.s.beat() })
+	fr.core.Post(func() { fr.core.Every(lateEvery, fr.endLate) })
 	l := &listener{Listener: fr.ln, fr: fr}
 	if fr.tls != nil {
 		go fr.srv.ServeTLS(l, "", "")
@@ -77,6 +75,19 @@
 	go fr.srv.Serve(l)
 }
 
+// lateEvery is how often connections are looked at whose time may be over.
+const lateEvery = 250 * time.Millisecond
+
+// endLate ends the connections whose time is over.
+func (fr *Front) endLate() {
+	now := fr.core.Now()
+	for _, c := range budget.Of[*conn](fr.core.Conns) {
+		if c.fr == fr && c.late(now) {
+			c.Close()
+		}
+	}
+}
+
 // CloseListeners implements [core.Front].
 func (fr *Front) CloseListeners() { fr.ln.Close() }
 
@@ -129,8 +140,7 @@
 		http.Error(w, "no connection", http.StatusInternalServerError)
 		return
 	}
-	c.open.Add(1)
-	c.spoken.Store(true)
+	came := c.handled(r.ProtoMajor > 1)
 	defer c.open.Add(-1)
 	rt, target := fr.route(r)
 	a := answer{w: w, fr: fr, rt: rt}
@@ -139,12 +149,9 @@
 		a.problem(http.StatusForbidden, "untrusted", "This address is not one that may ask.")
 		return
 	}
-	cost, n := int64(askCost), 0
-	for k, vs := range r.Header {
-		for _, v := range vs {
-			cost += int64(len(k) + len(v))
-			n++
-		}
+	cost, n := askCost+2*came, len(r.Header)
+	if r.ProtoMajor > 1 || n > fr.cfg.MaxHeaders/2 { // compressed, or there may be too many
+		cost, n = weigh(r.Header)
 	}
 	if n > fr.cfg.MaxHeaders {
 		fr.s.Figures.TooLarge.Add(1)
@@ -157,7 +164,7 @@
 		return
 	}
 	defer fr.core.Memory.Give(cost)
-	if code, why := fr.discard(r); code != 0 {
+	if code, why := fr.discard(w, r); code != 0 {
 		fr.s.Figures.TooLarge.Add(1)
 		w.Header().Set("Connection", "close")
 		a.problem(code, "body", why)
@@ -175,6 +182,18 @@
 	fr.check(a, r, target)
 }
 
+// weigh sums up the bytes and the number of header fields.
+func weigh(h http.Header) (cost int64, n int) {
+	cost = askCost
+	for k, vs := range h {
+		for _, v := range vs {
+			cost += int64(len(k) + len(v))
+			n++
+		}
+	}
+	return cost, n
+}
+
 // end takes an end call.
 func (fr *Front) end(a answer, r *http.Request) {
 	if r.Method != http.MethodPost {
@@ -183,7 +202,7 @@
 		return
 	}
 	id, found := r.URL.Query().Get("id"), make(chan bool, 1)
-	if !fr.post(func() { found <- fr.s.end(id) }, answerGrace) {
+	if !fr.post(func() { found <- fr.s.end(id) }, fr.core.Now()+answerGrace) {
 		a.problem(http.StatusServiceUnavailable, "undecided", "The core does not answer.")
 		return
 	}
@@ -199,34 +218,46 @@
 	}
 }
 
-// post hands the loop a task, unless it takes none for so long.
-func (fr *Front) post(task func(), within time.Duration) bool {
-	t := fr.timers.Get().(*time.Timer)
-	t.Reset(within)
-	defer fr.timers.Put(t)
-	defer t.Stop()
-	return fr.core.PostUntil(task, t.C)
+// post hands the loop a task, unless it takes none until then.
+func (fr *Front) post(task func(), until time.Duration) bool {
+	for {
+		pulse := *fr.s.pulse.Load()
+		if fr.core.PostUntil(task, pulse) {
+			return true
+		}
+		select {
+		case <-fr.core.Done():
+			return false
+		default:
+		}
+		if fr.core.Now() >= until {
+			return false
+		}
+	}
 }
 
 // decide asks the core. false: it gave no answer in time.
 func (fr *Front) decide(c *check) (outcome, bool) {
-	t := fr.timers.Get().(*time.Timer)
-	t.Reset(c.Wait + answerGrace)
-	defer fr.timers.Put(t)
-	defer t.Stop()
-	if !fr.core.PostUntil(func() { fr.s.arrived(c) }, t.C) {
+	until := c.At + c.Wait + answerGrace
+	if !fr.post(c.arrive, until) {
 		return outcome{}, false
 	}
-	select {
-	case o := <-c.done:
-		return o, true
-	case <-t.C:
-	case <-fr.core.Done():
-		select { // it may have been the last one answered
+	for {
+		pulse := *fr.s.pulse.Load()
+		select {
 		case o := <-c.done:
 			return o, true
-		default:
+		case <-pulse:
+			if fr.core.Now() >= until {
+				return outcome{}, false
+			}
+		case <-fr.core.Done():
+			select { // it may have been the last one answered
+			case o := <-c.done:
+				return o, true
+			default:
+				return outcome{}, false
+			}
 		}
 	}
-	return outcome{}, false
 }
--- a/internal/front/authz/shared.go
+++ b/internal/front/authz/shared.go
@@ -6,6 +6,8 @@
 	"encoding/hex"
 	"log/slog"
 	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,7 +36,29 @@
 	holds   holds
 	prefix  string // of request ids
 	lastID  uint64
+	started sync.Once
 	Figures Figures
+	pulse   atomic.Pointer[chan struct{}] // closed at the next beat
+}
+
+// beatEvery is how often a handler that waits looks at its time. Handlers share one clock for it, as each check would
+// else set a timer that almost never runs.
+const beatEvery = 50 * time.Millisecond
+
+// beat closes the pulse again and again until the core has ended. It stands apart from the loop, whose failure to
+// answer it is for.
+func (s *Shared) beat() {
+	t := time.NewTicker(beatEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-s.core.Done():
+			return
+		}
+		next := make(chan struct{})
+		close(*s.pulse.Swap(&next))
+	}
 }
 
 // Figures count what the listeners did. Any goroutine may read them.
@@ -64,8 +88,10 @@
 	var b [8]byte
 	rand.Read(b[:])
 	s := &Shared{core: c, log: log, memory: m, prefix: hex.EncodeToString(b[:]) + "-",
-		holds: holds{most: cfg.MostHolds, byID: map[string]*held{}}}
+		holds: holds{most: cfg.MostHolds, byID: map[uint64]*held{}}}
 	s.table.Store(t)
+	first := make(chan struct{})
+	s.pulse.Store(&first)
 	return s, nil
 }
 
@@ -81,24 +107,31 @@
 	s     *Shared
 	watch bool // a repeat of it can be told
 	key   verdict.Key
-	entry *verdict.Entry[outcome, *check]
+	entry verdict.Entry // where remembered
+	kept  bool          // it is remembered
 	done  chan outcome
 }
 
-// outcome is what was decided.
+// outcome is what was decided. It has no pointers, as the memory holds many.
 type outcome struct {
 	verdict core.Verdict
 	pause   time.Duration
 	at      time.Duration // when it was decided, on the loop's clock
 	quota   core.Quota
-	id      string // of the granted request, for its end
+	id      uint64 // of the granted request, for its end
 	repeat  bool   // told before
 }
 
+// requestID is the id of a granted request as clients see it.
+func (s *Shared) requestID(id uint64) string { return s.prefix + strconv.FormatUint(id, 36) }
+
+// arrive is a task of the loop.
+func (c *check) arrive() { c.s.arrived(c) }
+
 // arrived takes a check to the loop: one that is known is told or joined, and counts no more.
 func (s *Shared) arrived(c *check) {
 	if c.watch {
-		now := s.core.Now()
+		now := s.core.Coarse()
 		e, state := s.memory.Ask(now, c.Customer, c.key, c)
 		switch state {
 		case verdict.Open:
@@ -106,7 +139,7 @@
 			return
 		case verdict.Given:
 			s.Figures.Repeated.Add(1)
-			o := e.Verdict
+			o := s.memory.Verdict(e)
 			o.pause = max(0, o.pause-(now-o.at))
 			o.repeat = true
 			c.done <- o
@@ -114,7 +147,7 @@
 		case verdict.Unwatched:
 			s.Figures.Unwatched.Add(1)
 		case verdict.New:
-			c.entry = e
+			c.entry, c.kept = e, true
 		}
 	}
 	s.core.Submit(&c.Request)
@@ -126,12 +159,12 @@
 // Answer implements [core.Caller].
 func (c *check) Answer(a core.Answer) {
 	s := c.s
-	o := outcome{verdict: a.Verdict, pause: a.Pause, at: s.core.Now(), quota: a.Quota}
+	o := outcome{verdict: a.Verdict, pause: a.Pause, at: s.core.Coarse(), quota: a.Quota}
 	keep := time.Duration(0) // what was not decided is decided anew when it is asked again
 	switch a.Verdict {
 	case core.Granted:
 		s.lastID++
-		o.id = s.prefix + strconv.FormatUint(s.lastID, 36)
+		o.id = s.lastID
 		keep = time.Duration(1<<63 - 1)
 		if c.Hold > 0 && !s.holds.add(o.id, &c.Request, o.at+c.Hold, o.at) {
 			s.Figures.HoldsLost.Add(1)
@@ -139,19 +172,23 @@
 	case core.Refused:
 		keep = max(refusedKeep, a.Pause)
 	}
-	if c.entry == nil {
-		c.done <- o
-		return
-	}
-	for i, w := range s.memory.Settle(o.at, c.entry, o, keep) {
-		o.repeat = i > 0
-		w.done <- o
+	c.done <- o
+	if c.kept {
+		o.repeat = true
+		for _, w := range s.memory.Settle(o.at, c.entry, o, keep) {
+			w.done <- o
+		}
 	}
 }
 
 // end takes word that the work of a granted request is over, and says whether its grant was still held.
 func (s *Shared) end(id string) bool {
-	r := s.holds.take(id, s.core.Now())
+	text, ok := strings.CutPrefix(id, s.prefix)
+	n, err := strconv.ParseUint(text, 36, 64)
+	if !ok || err != nil {
+		return false
+	}
+	r := s.holds.take(n, s.core.Now())
 	if r == nil {
 		return false
 	}
@@ -163,19 +200,19 @@
 // holds keeps the grants whose end is awaited until the module lets go of them by itself.
 type holds struct {
 	most int
-	byID map[string]*held
+	byID map[uint64]*held
 	due  dueHeap
 }
 
 type held struct {
-	id    string
+	id    uint64
 	r     *core.Request
 	until time.Duration
 	spot  int
 }
 
 // add keeps a grant; false: there is no room, and only its hold will end it.
-func (h *holds) add(id string, r *core.Request, until, now time.Duration) bool {
+func (h *holds) add(id uint64, r *core.Request, until, now time.Duration) bool {
 	h.expire(now)
 	if len(h.byID) >= h.most {
 		return false
@@ -186,7 +223,7 @@
 	return true
 }
 
-func (h *holds) take(id string, now time.Duration) *core.Request {
+func (h *holds) take(id uint64, now time.Duration) *core.Request {
 	h.expire(now)
 	e := h.byID[id]
 	if e == nil {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/heap"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,7 @@
 	done   chan struct{}
 	alarm  *time.Timer
 	timers timerHeap
+	coarse atomic.Int64
 }
 
 // New makes a loop whose clock starts at the present Unix time.
@@ -33,6 +35,15 @@
 	return time.Duration(l.begun.UnixNano()) + time.Since(l.begun)
 }
 
+// Coarse is the clock as the loop read it when its turn began: exact enough for the loop's own tasks, up to some
+// milliseconds old for other goroutines while the loop waits, and cheap.
+func (l *Loop) Coarse() time.Duration {
+	if t := l.coarse.Load(); t > 0 {
+		return time.Duration(t)
+	}
+	return l.Now()
+}
+
 // Post hands the loop a task, from any other goroutine. After Close it is passed over.
 func (l *Loop) Post(task func()) {
 	select {
@@ -42,7 +53,7 @@
 }
 
 // PostUntil is Post that gives up, and says so, when the signal comes first or the loop is closed.
-func (l *Loop) PostUntil(task func(), signal <-chan time.Time) bool {
+func (l *Loop) PostUntil(task func(), signal <-chan struct{}) bool {
 	select {
 	case l.tasks <- task: // no other case is looked at where there is room
 		return true
@@ -68,13 +79,17 @@
 func (l *Loop) Wait(limit time.Duration, signal <-chan struct{}) bool {
 	l.alarm.Reset(min(limit, l.next(l.Now())))
 	signalled := false
+	var first func()
 	select {
-	case task := <-l.tasks:
-		task()
+	case first = <-l.tasks:
 	case <-l.alarm.C:
 	case <-signal:
 		signalled = true
 	}
+	l.coarse.Store(int64(l.Now()))
+	if first != nil {
+		first()
+	}
 	for range len(l.tasks) {
 		(<-l.tasks)()
 	}
--- a/internal/service/hosted/config.go
+++ b/internal/service/hosted/config.go
@@ -176,7 +176,8 @@
 	if c.Node, err = f.node(); err != nil {
 		return nil, err
 	}
-	names := account.Names{Classes: c.Node.Transport.Classes, Plans: c.Node.Transport.Plans}
+	names := account.Names{Classes: c.Node.Transport.Classes, Plans: c.Node.Transport.Plans,
+		Policies: authz.Policies(c.Node.Transport.Plans, c.Node.Settings.Plans)}
 	if err := f.accounts(c, names); err != nil {
 		return nil, err
 	}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -12,7 +12,6 @@
 
 import (
 	"container/heap"
-	"container/list"
 	"errors"
 	"time"
 )
@@ -53,26 +52,40 @@
 	Unwatched              // there is no room to remember it: it is to be decided alone
 )
 
-// Entry is one check that is remembered. V is what is decided, W who waits for it.
-type Entry[V, W any] struct {
-	Verdict V // once settled
+// Entry names a check that is remembered, until it is forgotten.
+type Entry int32
 
-	waiting   []W
-	key       Key
-	account   *account[V, W]
-	settled   bool
-	gone      bool
-	repeats   int
-	until     time.Duration // once settled: when it is forgotten
-	inAccount *list.Element // of those settled
-	inAll     *list.Element
+// none is no entry, and the end of a list.
+const none Entry = -1
+
+// slot holds one check. Slots lie in pages and are linked by their numbers: with a V that has no pointers the
+// collector has nothing to follow in them, however many there are.
+type slot[V any] struct {
+	verdict V
+	id      id
+	repeats int
+	until   time.Duration // once settled: when it is forgotten
+	settled bool
+	// Neighbours among the settled ones of the account and of all; next of all also links free slots.
+	account, all links
 }
 
-type account[V, W any] struct {
-	name    string
-	entries map[Key]*Entry[V, W]
-	given   list.List // settled ones, the oldest first
-	spot    int       // in the heap of accounts by size
+type links struct{ prev, next Entry }
+
+type id struct {
+	account uint32
+	key     Key
+}
+
+// ends are the ends of a list of settled checks, the oldest first.
+type ends struct{ first, last Entry }
+
+type account struct {
+	name  string
+	no    uint32
+	size  int
+	given ends
+	spot  int // in the heap of accounts by size
 }
 
 // Figures count what a Memory did.
@@ -84,14 +97,21 @@
 	Worn      uint64 // checks asked more often than may be, and decided anew
 }
 
-// Memory remembers checks.
+// Memory remembers checks. V is what is decided, W who waits for it.
 type Memory[V, W any] struct {
-	cfg      Config
-	accounts map[string]*account[V, W]
-	bySize   sizes[V, W]
-	size     int
-	given    list.List // of all accounts, by when they were settled
-	Figures  Figures
+	cfg     Config
+	names   map[string]*account
+	numbers map[uint32]*account
+	lastNo  uint32
+	bySize  sizes
+	pages   [][]slot[V] // a page has pageSize slots and never moves, so growing costs no copy
+	made    int         // slots in pages, used or free
+	free    Entry
+	find    map[id]Entry
+	waiting map[Entry][]W // of the open ones that were asked again
+	size    int
+	given   ends // of all accounts, by when they were settled
+	Figures Figures
 }
 
 // NewMemory makes an empty memory.
@@ -99,130 +119,177 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	return &Memory[V, W]{cfg: cfg, accounts: map[string]*account[V, W]{}}, nil
+	return &Memory[V, W]{cfg: cfg, names: map[string]*account{}, numbers: map[uint32]*account{}, free: none,
+		find: map[id]Entry{}, waiting: map[Entry][]W{}, given: ends{none, none}}, nil
 }
 
+// pageSize is how many slots are made at a time.
+const pageSize = 1 << 10
+
+func (m *Memory[V, W]) at(e Entry) *slot[V] { return &m.pages[e/pageSize][e%pageSize] }
+
 // Len is how many checks are remembered.
 func (m *Memory[V, W]) Len() int { return m.size }
 
 // Of is how many of an account are remembered.
 func (m *Memory[V, W]) Of(name string) int {
-	if a := m.accounts[name]; a != nil {
-		return len(a.entries)
+	if a := m.names[name]; a != nil {
+		return a.size
 	}
 	return 0
 }
 
-// Ask takes a check. With New the caller decides it and calls Settle; with Open the waiter is told then. Unwatched
-// has no Entry.
-func (m *Memory[V, W]) Ask(now time.Duration, name string, key Key, who W) (*Entry[V, W], State) {
+// Verdict is what was decided for a check that is Given.
+func (m *Memory[V, W]) Verdict(e Entry) V { return m.at(e).verdict }
+
+// Ask takes a check. With New the caller decides it, calls Settle and tells the asker; with Open the waiter comes back
+// from that Settle. Unwatched has no Entry.
+func (m *Memory[V, W]) Ask(now time.Duration, name string, key Key, who W) (Entry, State) {
 	m.expire(now)
-	if a := m.accounts[name]; a != nil {
-		e := a.entries[key]
-		switch {
-		case e == nil:
-		case e.settled && e.until <= now: // kept for less than the one settled before it
-			m.forget(e)
-		case e.repeats < m.cfg.Repeats:
-			e.repeats++
-			if e.settled {
-				m.Figures.Repeated++
-				return e, Given
+	if a := m.names[name]; a != nil {
+		if e, ok := m.find[id{a.no, key}]; ok {
+			s := m.at(e)
+			switch {
+			case s.settled && s.until <= now: // kept for less than the one settled before it
+				m.forget(e)
+			case s.repeats < m.cfg.Repeats:
+				s.repeats++
+				if s.settled {
+					m.Figures.Repeated++
+					return e, Given
+				}
+				m.Figures.Joined++
+				m.waiting[e] = append(m.waiting[e], who)
+				return e, Open
+			case s.settled:
+				m.Figures.Worn++
+				m.forget(e)
+			default: // the open one stays as it is; this one is decided by itself
+				m.Figures.Worn++
+				m.Figures.Unwatched++
+				return none, Unwatched
 			}
-			m.Figures.Joined++
-			e.waiting = append(e.waiting, who)
-			return e, Open
-		case e.settled:
-			m.Figures.Worn++
-			m.forget(e)
-		default: // the open one stays as it is; this one is decided by itself
-			m.Figures.Worn++
-			m.Figures.Unwatched++
-			return nil, Unwatched
 		}
 	}
-	if !m.room(m.accounts[name]) {
+	if !m.room(m.names[name]) {
 		m.Figures.Unwatched++
-		return nil, Unwatched
+		return none, Unwatched
 	}
-	a := m.accounts[name] // making room may have emptied it
+	a := m.names[name] // making room may have emptied it
 	if a == nil {
-		a = &account[V, W]{name: name, entries: map[Key]*Entry[V, W]{}}
-		m.accounts[name] = a
+		for m.lastNo++; m.numbers[m.lastNo] != nil; m.lastNo++ { // after four billion
+		}
+		a = &account{name: name, no: m.lastNo, given: ends{none, none}}
+		m.names[name], m.numbers[a.no] = a, a
 		heap.Push(&m.bySize, a)
 	}
-	e := &Entry[V, W]{key: key, account: a, waiting: []W{who}}
-	a.entries[key] = e
+	e := m.free
+	if e == none {
+		if m.made%pageSize == 0 {
+			m.pages = append(m.pages, make([]slot[V], pageSize))
+		}
+		e = Entry(m.made)
+		m.made++
+	} else {
+		m.free = m.at(e).all.next
+	}
+	*m.at(e) = slot[V]{id: id{a.no, key}}
+	m.find[m.at(e).id] = e
 	m.size++
+	a.size++
 	heap.Fix(&m.bySize, a.spot)
 	return e, New
 }
 
 // room sees to it that one more check of an account can be remembered.
-func (m *Memory[V, W]) room(a *account[V, W]) bool {
-	if a != nil && len(a.entries) >= m.cfg.PerAccount {
+func (m *Memory[V, W]) room(a *account) bool {
+	if a != nil && a.size >= m.cfg.PerAccount {
 		return m.giveUp(a)
 	}
 	if m.size < m.cfg.Most {
 		return true
 	}
 	largest := m.bySize[0]
-	if a != nil && len(a.entries) >= len(largest.entries) {
+	if a != nil && a.size >= largest.size {
 		largest = a
 	}
 	return m.giveUp(largest)
 }
 
 // giveUp forgets an account's oldest verdict, if there is one.
-func (m *Memory[V, W]) giveUp(a *account[V, W]) bool {
-	first := a.given.Front()
-	if first == nil {
+func (m *Memory[V, W]) giveUp(a *account) bool {
+	if a.given.first == none {
 		return false
 	}
 	m.Figures.Forgotten++
-	m.forget(first.Value.(*Entry[V, W]))
+	m.forget(a.given.first)
 	return true
 }
 
-// Settle gives a check its verdict and returns who waits for it, the first asker among them. It is remembered for the
-// time given, and no longer than the bound; 0 forgets it at once.
-func (m *Memory[V, W]) Settle(now time.Duration, e *Entry[V, W], v V, keep time.Duration) []W {
-	if e.settled {
+// Settle gives an open check its verdict, once, and returns who has joined it since; the first asker is the caller's
+// own. It is remembered for the time given, and no longer than the bound; 0 forgets it at once.
+func (m *Memory[V, W]) Settle(now time.Duration, e Entry, v V, keep time.Duration) []W {
+	s := m.at(e)
+	if s.settled {
 		return nil
 	}
-	who := e.waiting
-	e.waiting, e.Verdict, e.settled = nil, v, true
+	who, joined := m.waiting[e]
+	if joined {
+		delete(m.waiting, e)
+	}
+	s.verdict, s.settled = v, true
+	a := m.numbers[s.id.account]
+	m.link(&a.given, e, func(s *slot[V]) *links { return &s.account })
+	m.link(&m.given, e, func(s *slot[V]) *links { return &s.all })
 	if keep = min(keep, m.cfg.Keep); keep <= 0 {
 		m.forget(e)
 		return who
 	}
-	e.until = now + keep
-	e.inAccount, e.inAll = e.account.given.PushBack(e), m.given.PushBack(e)
+	s.until = now + keep
 	return who
 }
 
-// Forget forgets a check whose verdict is there; a later repeat is a new check.
-func (m *Memory[V, W]) Forget(e *Entry[V, W]) {
-	if e.settled {
-		m.forget(e)
+// link puts a check at the end of a list.
+func (m *Memory[V, W]) link(l *ends, e Entry, of func(*slot[V]) *links) {
+	*of(m.at(e)) = links{l.last, none}
+	if l.last == none {
+		l.first = e
+	} else {
+		of(m.at(l.last)).next = e
 	}
+	l.last = e
 }
 
-func (m *Memory[V, W]) forget(e *Entry[V, W]) {
-	if e.gone {
-		return
+// unlink takes a check out of a list.
+func (m *Memory[V, W]) unlink(l *ends, e Entry, of func(*slot[V]) *links) {
+	at := *of(m.at(e))
+	if at.prev == none {
+		l.first = at.next
+	} else {
+		of(m.at(at.prev)).next = at.next
 	}
-	e.gone = true
-	a := e.account
-	if e.inAll != nil {
-		a.given.Remove(e.inAccount)
-		m.given.Remove(e.inAll)
+	if at.next == none {
+		l.last = at.prev
+	} else {
+		of(m.at(at.next)).prev = at.prev
 	}
-	delete(a.entries, e.key)
+}
+
+// forget forgets a settled check.
+func (m *Memory[V, W]) forget(e Entry) {
+	s := m.at(e)
+	a := m.numbers[s.id.account]
+	m.unlink(&a.given, e, func(s *slot[V]) *links { return &s.account })
+	m.unlink(&m.given, e, func(s *slot[V]) *links { return &s.all })
+	delete(m.find, s.id)
+	*s = slot[V]{all: links{none, m.free}}
+	m.free = e
 	m.size--
-	if len(a.entries) == 0 {
+	a.size--
+	if a.size == 0 {
 		heap.Remove(&m.bySize, a.spot)
-		delete(m.accounts, a.name)
+		delete(m.names, a.name)
+		delete(m.numbers, a.no)
 		return
 	}
 	heap.Fix(&m.bySize, a.spot)
@@ -231,29 +298,25 @@
 // expire forgets what has been kept for its time. A verdict kept for less than the bound may stay a little longer in
 // memory, behind one kept for the whole of it, but is not told any more.
 func (m *Memory[V, W]) expire(now time.Duration) {
-	for first := m.given.Front(); first != nil; first = m.given.Front() {
-		e := first.Value.(*Entry[V, W])
-		if e.until > now {
-			return
-		}
-		m.forget(e)
+	for m.given.first != none && m.at(m.given.first).until <= now {
+		m.forget(m.given.first)
 	}
 }
 
-// sizes is a heap of accounts, the one with most entries first.
-type sizes[V, W any] []*account[V, W]
+// sizes is a heap of accounts, the one with most checks first.
+type sizes []*account
 
-func (s sizes[V, W]) Len() int           { return len(s) }
-func (s sizes[V, W]) Less(i, j int) bool { return len(s[i].entries) > len(s[j].entries) }
-func (s sizes[V, W]) Swap(i, j int) {
+func (s sizes) Len() int           { return len(s) }
+func (s sizes) Less(i, j int) bool { return s[i].size > s[j].size }
+func (s sizes) Swap(i, j int) {
 	s[i], s[j] = s[j], s[i]
 	s[i].spot, s[j].spot = i, j
 }
-func (s *sizes[V, W]) Push(x any) {
-	x.(*account[V, W]).spot = len(*s)
-	*s = append(*s, x.(*account[V, W]))
+func (s *sizes) Push(x any) {
+	x.(*account).spot = len(*s)
+	*s = append(*s, x.(*account))
 }
-func (s *sizes[V, W]) Pop() any {
+func (s *sizes) Pop() any {
 	old := *s
 	x := old[len(old)-1]
 	old[len(old)-1] = nil
