--- a/internal/service/hosted/forwardauth_test.go
+++ b/internal/service/hosted/forwardauth_test.go
@@ -84,7 +84,7 @@
 	d, c := w.doors[0], client()
 	code, h, _ := ask(t, c, d.http+"/traefik", bearer("small")...)
 	if code != 200 || h.Get(authz.HeaderAccount) != "small" || h.Get(authz.HeaderPlan) != "starter" ||
-		h.Get("Ratelimit-Policy") != `"starter";q=6;w=6` || h.Get("Ratelimit") != `"starter";r=5;t=1` {
+		h.Get("Ratelimit-Policy") != `"starter";q=6;w=60` || h.Get("Ratelimit") != `"starter";r=5;t=10` {
 		t.Errorf("allowed: %d %v", code, h)
 	}
 	code, h, body := ask(t, c, d.http+"/caddy", append(bearer("small"), "X-Units", "9")...)
@@ -102,7 +102,7 @@
 		t.Errorf("refused: %d %v", code, h)
 	}
 	if code, h, _ := ask(t, c, d.http+"/traefik", append(bearer("small"), "X-Forwarded-Uri", "//v1/%2e%2e/dear/x")...); code != 200 ||
-		h.Get("Ratelimit") != `"starter";r=0;t=6` {
+		h.Get("Ratelimit") != `"starter";r=0;t=60` {
 		t.Errorf("five units by an odd writing: %d %v", code, h)
 	}
 	for name, c2 := range map[string]struct {
--- a/internal/service/hosted/world_test.go
+++ b/internal/service/hosted/world_test.go
@@ -63,7 +63,7 @@
 give_up = "3s"
 [[plan]]
 name = "starter"
-rate = 1.0
+rate = 0.1
 burst = 6.0
 over_cost = 1.2
 [[plan]]
