--- a/cmd/gapgapd/main_test.go
+++ b/cmd/gapgapd/main_test.go
@@ -386,7 +386,7 @@
 	p.write(more)
 	p.signal(syscall.SIGHUP)
 	until("new", 200)
-	for _, bad := range []string{"wrong = 1\n", "[[plan]]\nname = \"more\"\n"} {
+	for _, bad := range []string{"wrong = 1\n", "[[route]]\nname = \"more\"\n"} {
 		p.write(bad)
 		n := strings.Count(p.logged(), "is not used")
 		p.signal(syscall.SIGHUP)
--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -44,6 +44,7 @@
 type Names struct {
 	Classes, Plans []string
 	Policies       map[string][]string // by plan: the field that tells of its quota; nil: none
+	Several        bool                // of one pool of several: an account whose plan is another pool's has none here
 }
 
 // Account is a compiled Spec.
@@ -129,6 +130,10 @@
 	if o := t.byID[id]; o != nil {
 		return fault(fmt.Errorf("is that of account %q too", o.Name), "account[%d].customer", i)
 	}
+	if names.Several && !slices.Contains(names.Plans, s.Plan) {
+		t.credentials(s, &Account{Name: s.Name, Customer: id, Plan: -1})
+		return nil
+	}
 	a := &Account{Name: s.Name, Customer: id, PlanName: s.Plan, Doors: s.Doors, Hold: s.Hold}
 	a.Said.Name, a.Said.Plan = []string{s.Name}, []string{s.Plan}
 	if p := names.Policies; p != nil && s.Plan != "" {
@@ -147,6 +152,9 @@
 		a.classes = make([]bool, len(names.Classes))
 		for j, c := range s.Classes {
 			k := slices.Index(names.Classes, c)
+			if k < 0 && names.Several {
+				continue
+			}
 			if k < 0 {
 				return fault(fmt.Errorf("no class is named %q", c), "account[%d].classes[%d]", i, j)
 			}
@@ -178,6 +186,20 @@
 	return nil
 }
 
+// credentials keeps an account that has no plan here known by what it shows.
+func (t *Table) credentials(s Spec, a *Account) {
+	for _, k := range s.Keys {
+		if raw, err := hex.DecodeString(k); err == nil && len(raw) == sha256.Size {
+			h := [sha256.Size]byte(raw)
+			t.keys[binary.BigEndian.Uint64(h[:])] = append(t.keys[binary.BigEndian.Uint64(h[:])], keyed{h, a})
+		}
+	}
+	for _, c := range s.Certificates {
+		t.certs[c] = a
+	}
+	t.names[a.Name] = a
+}
+
 // Customer reads a customer's number as the protocol writes it: 16 hex digits, below 2^33; and returns it in lower case.
 func Customer(s string) (string, error) {
 	n, err := strconv.ParseUint(s, 16, 64)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,13 +17,18 @@
 	"snowhall/internal/budget"
 	"snowhall/internal/loop"
 	"snowhall/internal/membership"
+	"snowhall/internal/route"
 	"snowhall/internal/upstream"
 )
 
+// Times of a shutdown.
 const (
-	acceptAfterTerm = 500 * time.Millisecond // new connections are still taken this long after SIGTERM
-	answerMargin    = 100 * time.Millisecond // beyond the longest deadline, for the last answers on their way
-	sweepEvery      = time.Second
+	AcceptAfterTerm = 500 * time.Millisecond // new connections are still taken this long after SIGTERM
+	AnswerMargin    = 100 * time.Millisecond // beyond the longest deadline, for the last answers on their way
+)
+
+const (
+	sweepEvery = time.Second
 )
 
 // Upstream carries attempts and probes to backends.
@@ -62,13 +67,27 @@
 	Drain() bool     // closes what stands between two requests; says whether nothing is left
 }
 
+// Router finds the pool of a request: the core that is to decide it, acquired. nil: there is none. Any goroutine calls it.
+type Router interface {
+	Route(*route.Query) *Core
+}
+
+// Env is what the fronts of a process share, whatever pools stand behind them. Any goroutine may use it.
+type Env struct {
+	Memory      *budget.Bytes // what clients of all fronts may make the process hold
+	Conns       *budget.Conns // the clients' connections of all fronts
+	Now, Coarse func() time.Duration
+	Router      Router
+}
+
 // Config is what a Core is made of beside its sides.
 type Config struct {
+	Name     string // of the pool
+	Classes  []string
+	Plans    []string // and classes: their names, in the order of the module's indices
 	Settings snowhall.Settings
 	Seed     uint64
-	MostOpen int           // requests that may be open at once; 0: no bound
-	Memory   *budget.Bytes // what clients of all fronts may make the process hold
-	Conns    *budget.Conns // the clients' connections of all fronts
+	MostOpen int // requests that may be open at once; 0: no bound
 }
 
 // Core is one front door.
@@ -87,6 +106,37 @@
 	upstream   Upstream
 	counter    Counter
 	membership Membership
+
+	refs    atomic.Int64 // requests that fronts have for it or it has itself
+	retired atomic.Bool  // no further request is taken
+}
+
+// Acquire takes the pool for one request, which keeps it from ending. false: it is being removed. Any goroutine may call
+// it. Submit, or else Release, gives it back.
+func (c *Core) Acquire() bool {
+	c.refs.Add(1)
+	if c.retired.Load() {
+		c.refs.Add(-1)
+		return false
+	}
+	return true
+}
+
+// Release gives back what Acquire took, for a request that Submit never got.
+func (c *Core) Release() { c.refs.Add(-1) }
+
+// Busy is how many requests hold the pool.
+func (c *Core) Busy() int { return int(c.refs.Load()) }
+
+// Retire says that no further request is taken; those that are open go on.
+func (c *Core) Retire() { c.retired.Store(true) }
+
+// Route implements [Router] for a process with one pool.
+func (c *Core) Route(*route.Query) *Core {
+	if c.Acquire() {
+		return c
+	}
+	return nil
 }
 
 // New makes a core on a loop. It needs Connect before Run.
@@ -134,22 +184,38 @@
 
 // Run serves by the fronts until the context ends, then answers what was taken and returns.
 func (c *Core) Run(ctx context.Context, fronts ...Front) {
-	defer c.Close()
-	defer c.upstream.Close()
-	defer c.counter.Close()
-	c.membership.Known()
-	c.Step() // from here on it is able to serve
-	c.membership.Follow(c.membership.Addr())
-	defer c.membership.Stop()
+	defer c.begin()()
 	for _, f := range fronts {
 		f.Serve()
 		defer f.CloseListeners()
 	}
+	c.loop(ctx, fronts)
+}
+
+// Serve runs the core as one pool of several, until the signal; its fronts are somebody else's.
+func (c *Core) Serve(stop <-chan struct{}) {
+	defer c.begin()()
+	for !c.Wait(time.Hour, stop) {
+		c.Step()
+	}
+	c.Step()
+}
+
+// begin starts the sides and makes the core able to serve. What it returns ends them.
+func (c *Core) begin() (end func()) {
+	c.membership.Known()
+	c.Step() // from here on it is able to serve
+	c.membership.Follow(c.membership.Addr())
 	c.Every(sweepEvery, func() {
 		c.upstream.Sweep()
 		c.counter.Sweep()
 	})
-	c.loop(ctx, fronts)
+	return func() {
+		c.membership.Stop()
+		c.counter.Close()
+		c.upstream.Close()
+		c.Close()
+	}
 }
 
 // Reload moves to other addresses of discovery and the counter, from any goroutine.
@@ -177,8 +243,8 @@
 		if c.Wait(limit, term) {
 			term = nil
 			c.log.Info("ending")
-			finish = c.Now() + acceptAfterTerm
-			give = finish + c.longest() + answerMargin
+			finish = c.Now() + AcceptAfterTerm
+			give = finish + c.Longest() + AnswerMargin
 		}
 		c.Step() // all that was there goes into one
 		if now := c.Now(); finish > 0 && now >= finish {
@@ -190,14 +256,15 @@
 				drained = f.Drain() && drained
 			}
 			if drained || now >= give {
-				c.log.Info("ended", "unanswered", c.unanswered())
+				c.log.Info("ended", "unanswered", c.Unanswered())
 				return
 			}
 		}
 	}
 }
 
-func (c *Core) unanswered() (n int) {
+// Unanswered is how many requests have no answer. Only the loop goroutine may call it, or who knows that it has ended.
+func (c *Core) Unanswered() (n int) {
 	for _, r := range c.requests {
 		if !r.ended {
 			n++
@@ -206,8 +273,8 @@
 	return n
 }
 
-// longest is the longest time that a client waits.
-func (c *Core) longest() time.Duration {
+// Longest is the longest time that a client waits.
+func (c *Core) Longest() time.Duration {
 	most := time.Duration(0)
 	for _, cl := range c.Settings.Classes {
 		most = max(most, cl.GiveUp)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -87,14 +87,16 @@
 	a.c.forget(a.r)
 }
 
-// Submit takes a request in. Only the loop goroutine may call it.
+// Submit takes a request in, for which the core was acquired. Only the loop goroutine may call it.
 func (c *Core) Submit(r *Request) {
 	if c.MostOpen > 0 && len(c.requests) >= c.MostOpen {
+		c.Release()
 		r.Caller.Answer(Answer{Verdict: Refused})
 		return
 	}
 	if r.ID != "" {
 		if c.open[r.ID] { // not to be told what another request is answered
+			c.Release()
 			r.Caller.Answer(Answer{Verdict: Duplicate})
 			return
 		}
@@ -166,8 +168,9 @@
 }
 
 func (c *Core) forget(r *Request) {
-	if r.ended && r.out == 0 {
+	if r.ended && r.out == 0 && c.requests[r.id] == r {
 		delete(c.requests, r.id)
+		c.Release()
 	}
 }
 
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"hash/fnv"
 	"math"
 	"net"
 	"slices"
@@ -28,6 +29,7 @@
 type Config struct {
 	Addr        string        // host:port
 	Enabled     bool          // else every call ends at once as ConnectFailed
+	Space       string        // names of one space are apart from those of another; empty: as the module makes them
 	Timeout     time.Duration // a call with no answer by then ends as Timeout
 	DialTimeout time.Duration
 }
@@ -39,6 +41,7 @@
 	sink  func(snowhall.Counted)
 	addr  string
 	lines [conns]*line
+	space uint64
 	open  map[uint64][]*call // not yet told of, by name in the order of the calls
 }
 
@@ -71,6 +74,11 @@
 // New makes a counter. The sink is told the one answer of each call, by the loop goroutine.
 func New(l *loop.Loop, cfg Config, sink func(snowhall.Counted)) *Counter {
 	c := &Counter{l: l, cfg: cfg, sink: sink, open: map[uint64][]*call{}}
+	if cfg.Space != "" {
+		h := fnv.New64a()
+		h.Write([]byte(cfg.Space))
+		c.space = h.Sum64() >> 1 // within the 63 bits of the module's names
+	}
 	c.Move(cfg.Addr)
 	return c
 }
@@ -126,7 +134,7 @@
 		l.end(k, snowhall.ConnectFailed, 0)
 		return
 	}
-	k.text = fmt.Appendf(nil, "add %d %s %d\r\n", a.Name, strconv.FormatFloat(a.Amount, 'f', -1, 64),
+	k.text = fmt.Appendf(nil, "add %d %s %d\r\n", a.Name^c.space, strconv.FormatFloat(a.Amount, 'f', -1, 64),
 		max(1, a.Keep.Milliseconds()))
 	now := c.l.Now()
 	if len(l.calls) == 0 {
--- a/internal/front/authz/answer.go
+++ b/internal/front/authz/answer.go
@@ -28,10 +28,11 @@
 
 // answer writes the one answer of a check in its dialect.
 type answer struct {
-	w    http.ResponseWriter
-	fr   *Front
-	rt   *Route // nil: no dialect is known
-	acct *account.Account
+	w     http.ResponseWriter
+	fr    *Front
+	rt    *Route // nil: no dialect is known
+	acct  *account.Account
+	plans []snowhall.Plan // of the pool
 }
 
 // status is how a status is said in the dialect. Of nginx's auth_request only 2xx, 401 and 403 are understood; the true
--- a/internal/front/authz/check.go
+++ b/internal/front/authz/check.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"snowhall/internal/account"
 	"snowhall/internal/core"
+	"snowhall/internal/route"
 	"snowhall/internal/verdict"
 )
 
@@ -203,8 +205,8 @@
 		a.problem(http.StatusBadRequest, "target", err.Error())
 		return
 	}
-	table := s.table.Load()
-	acct, err := rt.identify(table, r.Header)
+	// Credentials are the process's, and which pool they lead to may hang on the account; its plan there is the pool's.
+	acct, err := rt.identify(s.identities(), r.Header)
 	if err != nil {
 		if !errors.Is(err, errUnknown) {
 			s.Figures.Bad.Add(1)
@@ -215,15 +217,52 @@
 		a.unauthenticated()
 		return
 	}
-	a.acct = acct
+	c := fr.env.Router.Route(&route.Query{Listener: fr.cfg.Name, Host: host, Path: path, Method: tg.method, Account: acct.Customer,
+		Header: header(r.Header)})
+	p := s.of(c)
+	if p == nil {
+		if c != nil {
+			c.Release()
+		}
+		s.Figures.Forbidden.Add(1)
+		a.problem(http.StatusForbidden, "no-route", "No service stands behind this.")
+		return
+	}
+	if !fr.checkIn(p, a, rt, r, tg, host, path, acct.Customer) {
+		p.core.Release()
+	}
+}
+
+// header is how a route reads header fields, whose names it has in canonical form.
+func header(h http.Header) func(string) (string, bool) {
+	return func(name string) (string, bool) {
+		v := h[name]
+		if len(v) != 1 {
+			return "", false
+		}
+		return v[0], true
+	}
+}
+
+// checkIn answers a check that has come to its pool. false: the pool was not asked, and is to be released.
+func (fr *Front) checkIn(p *pool, a answer, rt *Route, r *http.Request, tg target, host, path, customer string) (asked bool) {
+	s, table, err := fr.s, p.table.Load(), error(nil)
+	acct := table.ByCustomer(customer)
+	if acct == nil {
+		s.Figures.Forbidden.Add(1)
+		a.problem(http.StatusForbidden, "not-entitled", "The account has no plan here.")
+		return false
+	}
+	a.acct, a.plans = acct, p.core.Settings.Plans
 	class, units, ok := table.Match(host, tg.method, path)
-	if !ok {
-		class, units, ok = rt.DefaultClass, 1, rt.DefaultClass >= 0
+	if !ok && rt.DefaultClass != "" {
+		class, units = slices.Index(p.core.Classes, rt.DefaultClass), 1
+		ok = class >= 0
 	}
 	if !ok || !acct.Entitled(class) {
 		s.Figures.Forbidden.Add(1)
 		a.problem(http.StatusForbidden, "not-entitled", "The account is not entitled to this.")
-		return
+		return false
 	}
 	if rt.UnitsHeader != "" {
 		v, err := one(r.Header, rt.UnitsHeader)
@@ -235,19 +274,19 @@
 		if err != nil {
 			s.Figures.Bad.Add(1)
 			a.problem(http.StatusBadRequest, "units", err.Error())
-			return
+			return false
 		}
 	}
-	c := &check{s: s, done: make(chan outcome, 1)}
-	c.Request = core.Request{Caller: c, Class: class, Plan: acct.Plan, Customer: acct.Customer, At: fr.core.Now(),
+	c := &check{p: p, done: make(chan outcome, 1)}
+	c.Request = core.Request{Caller: c, Class: class, Plan: acct.Plan, Customer: acct.Customer, At: fr.env.Now(),
 		Wait: rt.within(r.Header), Units: units, Doors: acct.Doors, Grant: true}
-	if fr.core.Settings.Plans[acct.Plan].AtOnce > 0 {
+	if a.plans[acct.Plan].AtOnce > 0 {
 		c.Hold = acct.Hold
 	}
 	if c.watch, err = rt.sameness(c, acct, tg, r.Header); err != nil {
 		s.Figures.Bad.Add(1)
 		a.problem(http.StatusBadRequest, "request-id", err.Error())
-		return
+		return false
 	}
 	o, ok := fr.decide(c)
 	switch {
@@ -260,6 +299,7 @@
 		s.Figures.Refused.Add(1)
 		a.refused(o)
 	}
+	return true
 }
 
 // within is the time for a check's answer. Envoy tells how long it waits.
--- a/internal/front/authz/config.go
+++ b/internal/front/authz/config.go
@@ -66,7 +66,7 @@
 	RequestIDHeader   string
 	NonceHeader       string
 	UnitsHeader       string        // empty: units come by the rules only
-	DefaultClass      int           // for what no rule matches; -1: forbidden
+	DefaultClass      string        // for what no rule matches; empty, or one that the pool has not: forbidden
 	Within            time.Duration // a check is answered within this
 	AllowUndecided    bool          // what can't be decided passes; else it does not
 }
--- a/internal/front/authz/conn.go
+++ b/internal/front/authz/conn.go
@@ -39,7 +39,7 @@
 		if c.closed {
 			return 0, net.ErrClosed
 		}
-		now := int64(c.fr.core.Coarse())
+		now := int64(c.fr.env.Coarse())
 		c.last.Store(now)
 		c.came.Add(int64(n))
 		if c.open.Load() == 0 {
@@ -79,7 +79,7 @@
 
 // Write implements [net.Conn].
 func (c *conn) Write(b []byte) (int, error) {
-	c.last.Store(int64(c.fr.core.Coarse()))
+	c.last.Store(int64(c.fr.env.Coarse()))
 	return c.Conn.Write(b)
 }
 
@@ -88,7 +88,7 @@
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
-	c.fr.core.Conns.Remove(c)
+	c.fr.env.Conns.Remove(c)
 	return c.Conn.Close()
 }
 
@@ -103,7 +103,7 @@
 // GiveWay implements [budget.Holder].
 func (c *conn) GiveWay() {
 	c.mu.Lock()
-	idle := c.open.Load() == 0 && c.fr.core.Now()-time.Duration(c.last.Load()) >= idleLeast
+	idle := c.open.Load() == 0 && c.fr.env.Now()-time.Duration(c.last.Load()) >= idleLeast
 	c.closed = c.closed || idle
 	c.mu.Unlock()
 	if idle {
@@ -130,7 +130,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if !l.fr.core.Conns.Room() {
+		if !l.fr.env.Conns.Room() {
 			l.fr.s.Figures.NoRoom.Add(1)
 			nc.SetWriteDeadline(time.Now().Add(time.Second))
 			nc.Write(l.full)
@@ -138,9 +138,9 @@
 			continue
 		}
 		c := &conn{Conn: nc, fr: l.fr, trusted: l.fr.cfg.trusts(nc.RemoteAddr())}
-		c.born = l.fr.core.Now()
+		c.born = l.fr.env.Now()
 		c.last.Store(int64(c.born))
-		l.fr.core.Conns.Add(c)
+		l.fr.env.Conns.Add(c)
 		return c, nil
 	}
 }
--- a/internal/front/authz/front.go
+++ b/internal/front/authz/front.go
@@ -20,7 +20,7 @@
 
 // Front answers checks on one listener.
 type Front struct {
-	core    *core.Core
+	env     *core.Env
 	s       *Shared
 	cfg     Config
 	log     *slog.Logger
@@ -33,7 +33,7 @@
 // New makes a front on a listener, which it closes. With a TLS configuration it speaks TLS, else plain HTTP/1.1 and
 // HTTP/2 (with prior knowledge, RFC 9113, 3.3). The Config must have passed its Check.
 func New(s *Shared, cfg Config, ln net.Listener, tlsConfig *tls.Config, log *slog.Logger) *Front {
-	fr := &Front{core: s.core, s: s, cfg: cfg, log: log.With("listener", cfg.Name), ln: ln, tls: tlsConfig}
+	fr := &Front{env: s.env, s: s, cfg: cfg, log: log.With("listener", cfg.Name), ln: ln, tls: tlsConfig}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(tlsConfig != nil)
@@ -64,8 +64,6 @@
 
 // Serve implements [core.Front].
 func (fr *Front) Serve() {
-	fr.s.started.Do(func() { go fr.s.beat() })
-	fr.core.Post(func() { fr.core.Every(lateEvery, fr.endLate) })
 	l := &listener{Listener: fr.ln, fr: fr}
 	if fr.tls != nil {
 		go fr.srv.ServeTLS(l, "", "")
@@ -75,13 +73,10 @@
 	go fr.srv.Serve(l)
 }
 
-// lateEvery is how often connections are looked at whose time may be over.
-const lateEvery = 250 * time.Millisecond
-
 // endLate ends the connections whose time is over.
 func (fr *Front) endLate() {
-	now := fr.core.Now()
-	for _, c := range budget.Of[*conn](fr.core.Conns) {
+	now := fr.env.Now()
+	for _, c := range budget.Of[*conn](fr.env.Conns) {
 		if c.fr == fr && c.late(now) {
 			c.Close()
 		}
@@ -100,7 +95,7 @@
 			fr.srv.Shutdown(context.Background())
 		}()
 	}
-	for _, c := range budget.Of[*conn](fr.core.Conns) {
+	for _, c := range budget.Of[*conn](fr.env.Conns) {
 		if c.fr == fr {
 			c.GiveWay() // those on which nothing whole was asked: net/http would wait for them
 		}
@@ -158,12 +153,12 @@
 		a.problem(http.StatusRequestHeaderFieldsTooLarge, "headers", "There are more header fields than are read here.")
 		return
 	}
-	if !fr.core.Memory.Take(cost) {
+	if !fr.env.Memory.Take(cost) {
 		fr.s.Figures.NoRoom.Add(1)
 		a.undecided("memory")
 		return
 	}
-	defer fr.core.Memory.Give(cost)
+	defer fr.env.Memory.Give(cost)
 	if code, why := fr.discard(w, r); code != 0 {
 		fr.s.Figures.TooLarge.Add(1)
 		w.Header().Set("Connection", "close")
@@ -201,36 +196,43 @@
 		a.problem(http.StatusMethodNotAllowed, "method", "An end is told with POST.")
 		return
 	}
-	id, found := r.URL.Query().Get("id"), make(chan bool, 1)
-	if !fr.post(func() { found <- fr.s.end(id) }, fr.core.Now()+answerGrace) {
-		a.problem(http.StatusServiceUnavailable, "undecided", "The core does not answer.")
-		return
-	}
-	select {
-	case ok := <-found:
-		if !ok {
-			a.problem(http.StatusNotFound, "id", "No grant of that id is held.")
-			return
+	n, ok := fr.s.number(r.URL.Query().Get("id"))
+	if ok {
+		ok = false
+		for _, p := range *fr.s.pools.Load() { // the id does not say whose it is; end calls are few
+			found := make(chan bool, 1)
+			if !fr.post(p.core, func() { found <- p.end(n) }, fr.env.Now()+answerGrace) {
+				continue
+			}
+			select {
+			case ok = <-found:
+			case <-p.core.Done():
+			}
+			if ok {
+				break
+			}
 		}
-		a.w.WriteHeader(http.StatusNoContent)
-	case <-fr.core.Done():
-		a.problem(http.StatusServiceUnavailable, "undecided", "The core has ended.")
 	}
+	if !ok {
+		a.problem(http.StatusNotFound, "id", "No grant of that id is held.")
+		return
+	}
+	a.w.WriteHeader(http.StatusNoContent)
 }
 
-// post hands the loop a task, unless it takes none until then.
-func (fr *Front) post(task func(), until time.Duration) bool {
+// post hands a pool's loop a task, unless it takes none until then.
+func (fr *Front) post(c *core.Core, task func(), until time.Duration) bool {
 	for {
 		pulse := *fr.s.pulse.Load()
-		if fr.core.PostUntil(task, pulse) {
+		if c.PostUntil(task, pulse) {
 			return true
 		}
 		select {
-		case <-fr.core.Done():
+		case <-c.Done():
 			return false
 		default:
 		}
-		if fr.core.Now() >= until {
+		if fr.env.Now() >= until {
 			return false
 		}
 	}
@@ -239,7 +241,8 @@
 // decide asks the core. false: it gave no answer in time.
 func (fr *Front) decide(c *check) (outcome, bool) {
 	until := c.At + c.Wait + answerGrace
-	if !fr.post(c.arrive, until) {
+	if !fr.post(c.p.core, c.arrive, until) {
+		c.p.core.Release()
 		return outcome{}, false
 	}
 	for {
@@ -248,10 +251,10 @@
 		case o := <-c.done:
 			return o, true
 		case <-pulse:
-			if fr.core.Now() >= until {
+			if fr.env.Now() >= until {
 				return outcome{}, false
 			}
-		case <-fr.core.Done():
+		case <-c.p.core.Done():
 			select { // it may have been the last one answered
 			case o := <-c.done:
 				return o, true
--- a/internal/front/authz/shared.go
+++ b/internal/front/authz/shared.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"log/slog"
+	"maps"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,17 +27,19 @@
 	MostHolds int // granted requests whose end is awaited
 }
 
-// Shared is what all listeners of a process have together: the memory of verdicts, so that a check asked again by
-// another way is known, and the grants whose end is awaited. The loop goroutine owns all but the table and figures.
+// Shared is what all listeners of a process have together. Any goroutine may use it.
 type Shared struct {
-	core    *core.Core
-	log     *slog.Logger
-	table   atomic.Pointer[account.Table]
-	memory  *verdict.Memory[outcome, *check]
-	holds   holds
+	cfg     SharedConfig
+	env     *core.Env
+	pools   atomic.Pointer[map[*core.Core]*pool]
+	table   atomic.Pointer[account.Table] // whose credentials are known
+	mu      sync.Mutex                    // held to change pools
+	fronts  []*Front
 	prefix  string // of request ids
-	lastID  uint64
+	lastID  atomic.Uint64
+	stop    chan struct{}
 	started sync.Once
+	ended   sync.WaitGroup
 	Figures Figures
 	pulse   atomic.Pointer[chan struct{}] // closed at the next beat
 }
@@ -45,19 +48,53 @@
 // else set a timer that almost never runs.
 const beatEvery = 50 * time.Millisecond
 
-// beat closes the pulse again and again until the core has ended. It stands apart from the loop, whose failure to
-// answer it is for.
+// lateEach is how many beats lie between two looks at connections whose time may be over.
+const lateEach = 5
+
+// pool is what a pool's checks have together: the memory of verdicts, so that a check asked again by another way is known,
+// and the grants whose end is awaited. The pool's loop goroutine owns all but the table.
+type pool struct {
+	core   *core.Core
+	s      *Shared
+	table  atomic.Pointer[account.Table]
+	memory *verdict.Memory[outcome, *check]
+	holds  holds
+}
+
+// Begin starts what serves all listeners; Close ends it and waits for it.
+func (s *Shared) Begin(fronts ...*Front) {
+	s.started.Do(func() {
+		s.fronts = fronts
+		s.ended.Add(1)
+		go s.beat()
+	})
+}
+
+// Close ends what Begin started.
+func (s *Shared) Close() {
+	close(s.stop)
+	s.ended.Wait()
+}
+
+// beat closes the pulse again and again, and ends connections whose time is over. It stands apart from the loops, whose
+// failure to answer it is for.
 func (s *Shared) beat() {
+	defer s.ended.Done()
 	t := time.NewTicker(beatEvery)
 	defer t.Stop()
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-t.C:
-		case <-s.core.Done():
+		case <-s.stop:
 			return
 		}
 		next := make(chan struct{})
 		close(*s.pulse.Swap(&next))
+		for _, fr := range s.fronts {
+			if n%lateEach == 0 {
+				fr.endLate()
+			}
+		}
 	}
 }
 
@@ -79,32 +116,71 @@
 		n("ended", &f.Ended), n("holds_lost", &f.HoldsLost))
 }
 
-// NewShared makes what the listeners of a core share.
-func NewShared(c *core.Core, cfg SharedConfig, t *account.Table, log *slog.Logger) (*Shared, error) {
-	m, err := verdict.NewMemory[outcome, *check](cfg.Memory)
-	if err != nil {
+// NewShared makes what the listeners of a process share. It knows no pool yet.
+func NewShared(env *core.Env, cfg SharedConfig) (*Shared, error) {
+	if err := cfg.Memory.Check(); err != nil {
 		return nil, err
 	}
 	var b [8]byte
 	rand.Read(b[:])
-	s := &Shared{core: c, log: log, memory: m, prefix: hex.EncodeToString(b[:]) + "-",
-		holds: holds{most: cfg.MostHolds, byID: map[uint64]*held{}}}
-	s.table.Store(t)
+	s := &Shared{cfg: cfg, env: env, prefix: hex.EncodeToString(b[:]) + "-", stop: make(chan struct{})}
+	s.pools.Store(&map[*core.Core]*pool{})
 	first := make(chan struct{})
 	s.pulse.Store(&first)
 	return s, nil
 }
 
-// SetTable swaps the accounts. Checks that were read before go by the old ones. Any goroutine may call it.
-func (s *Shared) SetTable(t *account.Table) { s.table.Store(t) }
+// Add makes a pool known, with its accounts; for one that is known the accounts are swapped. Checks that were read before
+// go by the old ones.
+func (s *Shared) Add(c *core.Core, t *account.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := *s.pools.Load()
+	if p := old[c]; p != nil {
+		p.table.Store(t)
+		return
+	}
+	m, err := verdict.NewMemory[outcome, *check](s.cfg.Memory)
+	if err != nil {
+		panic(err) // the bounds were checked
+	}
+	p := &pool{core: c, s: s, memory: m, holds: holds{most: s.cfg.MostHolds, byID: map[uint64]*held{}}}
+	p.table.Store(t)
+	next := maps.Clone(old)
+	next[c] = p
+	s.pools.Store(&next)
+}
+
+// Remove forgets a pool that no request holds any more.
+func (s *Shared) Remove(c *core.Core) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := maps.Clone(*s.pools.Load())
+	delete(next, c)
+	s.pools.Store(&next)
+}
+
+// of finds what is kept of a pool.
+func (s *Shared) of(c *core.Core) *pool { return (*s.pools.Load())[c] }
+
+// identities is a table by which credentials are known: those of all pools are the same.
+func (s *Shared) identities() *account.Table { return s.table.Load() }
+
+// SetIdentities swaps the table by which credentials are known.
+func (s *Shared) SetIdentities(t *account.Table) { s.table.Store(t) }
 
-// Table is the accounts as they are now.
-func (s *Shared) Table() *account.Table { return s.table.Load() }
+// Account finds what is configured for a customer in a pool; nil: nothing.
+func (s *Shared) Account(c *core.Core, customer string) *account.Account {
+	if p := s.of(c); p != nil {
+		return p.table.Load().ByCustomer(customer)
+	}
+	return nil
+}
 
 // check is one check from when its account is known.
 type check struct {
 	core.Request
-	s     *Shared
+	p     *pool
 	watch bool // a repeat of it can be told
 	key   verdict.Key
 	entry verdict.Entry // where remembered
@@ -126,27 +202,31 @@
 func (s *Shared) requestID(id uint64) string { return s.prefix + strconv.FormatUint(id, 36) }
 
 // arrive is a task of the loop.
-func (c *check) arrive() { c.s.arrived(c) }
+func (c *check) arrive() { c.p.arrived(c) }
 
 // arrived takes a check to the loop: one that is known is told or joined, and counts no more.
-func (s *Shared) arrived(c *check) {
+func (p *pool) arrived(c *check) {
+	s := p.s
 	if c.watch {
-		now := s.core.Coarse()
-		e, state := s.memory.Ask(now, c.Customer, c.key, c)
+		now := p.core.Coarse()
+		e, state := p.memory.Ask(now, c.Customer, c.key, c)
 		switch state {
 		case verdict.Open:
 			s.Figures.Repeated.Add(1)
+			p.core.Release()
 			return
 		case verdict.Given:
 			s.Figures.Repeated.Add(1)
-			o := s.memory.Verdict(e)
+			p.core.Release()
+			o := p.memory.Verdict(e)
 			o.pause = max(0, o.pause-(now-o.at))
 			o.repeat = true
 			c.done <- o
 			return
 		case verdict.Worn:
 			s.Figures.Worn.Add(1)
-			c.done <- outcome{verdict: core.Refused, pause: max(refusedKeep, s.memory.Left(now, e)), at: now, repeat: true}
+			p.core.Release()
+			c.done <- outcome{verdict: core.Refused, pause: max(refusedKeep, p.memory.Left(now, e)), at: now, repeat: true}
 			return
 		case verdict.Unwatched:
 			s.Figures.Unwatched.Add(1)
@@ -154,7 +234,7 @@
 			c.entry, c.kept = e, true
 		}
 	}
-	s.core.Submit(&c.Request)
+	p.core.Submit(&c.Request)
 }
 
 // Forward implements [core.Caller]. A grant has no backend.
@@ -162,15 +242,14 @@
 
 // Answer implements [core.Caller].
 func (c *check) Answer(a core.Answer) {
-	s := c.s
-	o := outcome{verdict: a.Verdict, pause: a.Pause, at: s.core.Coarse(), quota: a.Quota}
+	p, s := c.p, c.p.s
+	o := outcome{verdict: a.Verdict, pause: a.Pause, at: p.core.Coarse(), quota: a.Quota}
 	keep := time.Duration(0) // what was not decided is decided anew when it is asked again
 	switch a.Verdict {
 	case core.Granted:
-		s.lastID++
-		o.id = s.lastID
+		o.id = s.lastID.Add(1)
 		keep = time.Duration(1<<63 - 1)
-		if c.Hold > 0 && !s.holds.add(o.id, &c.Request, o.at+c.Hold, o.at) {
+		if c.Hold > 0 && !p.holds.add(o.id, &c.Request, o.at+c.Hold, o.at) {
 			s.Figures.HoldsLost.Add(1)
 		}
 	case core.Refused:
@@ -179,25 +258,27 @@
 	c.done <- o
 	if c.kept {
 		o.repeat = true
-		for _, w := range s.memory.Settle(o.at, c.entry, o, keep) {
+		for _, w := range p.memory.Settle(o.at, c.entry, o, keep) {
 			w.done <- o
 		}
 	}
 }
 
-// end takes word that the work of a granted request is over, and says whether its grant was still held.
-func (s *Shared) end(id string) bool {
+// number reads a request id back; false: it is none of ours.
+func (s *Shared) number(id string) (uint64, bool) {
 	text, ok := strings.CutPrefix(id, s.prefix)
 	n, err := strconv.ParseUint(text, 36, 64)
-	if !ok || err != nil {
-		return false
-	}
-	r := s.holds.take(n, s.core.Now())
+	return n, ok && err == nil
+}
+
+// end takes word that the work of a granted request is over, and says whether its grant was still held here.
+func (p *pool) end(n uint64) bool {
+	r := p.holds.take(n, p.core.Now())
 	if r == nil {
 		return false
 	}
-	s.Figures.Ended.Add(1)
-	s.core.Finish(r)
+	p.s.Figures.Ended.Add(1)
+	p.core.Finish(r)
 	return true
 }
 
--- a/internal/front/resp2/client.go
+++ b/internal/front/resp2/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"snowhall/internal/core"
 	"snowhall/internal/resp"
 	"snowhall/internal/sock"
 )
@@ -63,8 +64,8 @@
 func newClient(fr *Front, nc net.Conn) *client {
 	c := &client{fr: fr, nc: nc, due: time.Now().Add(firstWithin)}
 	c.room = sync.NewCond(&c.mu)
-	c.in = resp.Reader{From: c, Memory: fr.core.Memory}
-	c.idle.Store(int64(fr.core.Now()))
+	c.in = resp.Reader{From: c, Memory: fr.env.Memory}
+	c.idle.Store(int64(fr.env.Now()))
 	return c
 }
 
@@ -126,30 +127,46 @@
 	name := strings.ToUpper(string(args[0]))
 	switch name {
 	case "PING":
-		if !c.fr.core.Ready() {
+		if p := c.fr.env.Router.Route(c.fr.plain); !ready(p) {
 			return c.reply("-LOADING no backend is known yet\r\n")
 		}
 		return c.reply("+PONG\r\n")
 	case "Q.ASK", "Q.DO":
-		a, err := c.fr.parse(name, args)
+		pool := c.fr.pool(args)
+		if pool == nil {
+			return c.unusable("-ERR no route leads anywhere\r\n")
+		}
+		a, err := c.fr.parse(pool, name, args)
 		if err != nil {
+			pool.Release()
 			return c.unusable("-ERR " + err.Error() + "\r\n")
 		}
 		c.bad = 0
 		a.conn = c
 		cost := int64(len(m.Raw)) + askCost
-		if !c.fr.core.Memory.Take(cost) {
+		if !c.fr.env.Memory.Take(cost) {
+			pool.Release()
 			return c.reply(string(busyAnswer(comeBack)))
 		}
 		if a.slot = c.take(a, cost); a.slot == nil {
+			pool.Release()
 			return false
 		}
-		c.fr.core.Post(func() { c.fr.core.Submit(&a.Request) })
+		pool.Post(func() { pool.Submit(&a.Request) })
 		return true
 	}
 	return c.unusable(fmt.Sprintf("-ERR unknown command '%.40s'\r\n", printable(args[0])))
 }
 
+// ready says whether a pool can serve, and gives it back. Where nothing is said of where a request would go, any may do.
+func ready(p *core.Core) bool {
+	if p == nil {
+		return true // what is asked says more, and is told so if it leads nowhere
+	}
+	defer p.Release()
+	return p.Ready()
+}
+
 // unusable answers a command that can't be used. The next one is read after a pause, as a client that sends the
 // same again and again would else take the core from the others.
 func (c *client) unusable(line string) bool {
@@ -179,7 +196,7 @@
 		c.room.Wait()
 	}
 	if c.closed {
-		c.fr.core.Memory.Give(cost)
+		c.fr.env.Memory.Give(cost)
 		return nil
 	}
 	s := &slot{ask: a, cost: cost}
@@ -203,15 +220,15 @@
 	for len(c.slots) > 0 && c.slots[0].ready {
 		first := c.slots[0]
 		c.out = append(c.out, first.answer...)
-		c.fr.core.Memory.Force(int64(len(first.answer)) - first.cost)
+		c.fr.env.Memory.Force(int64(len(first.answer)) - first.cost)
 		c.slots[0] = nil
 		c.slots = c.slots[1:]
 		c.room.Broadcast()
 	}
 	if len(c.slots) == 0 {
-		c.idle.Store(int64(c.fr.core.Now()))
+		c.idle.Store(int64(c.fr.env.Now()))
 	}
-	if len(c.out) > mostUnwritten || len(c.out) > resp.MostValue && c.fr.core.Memory.Over() {
+	if len(c.out) > mostUnwritten || len(c.out) > resp.MostValue && c.fr.env.Memory.Over() {
 		c.close()
 	} else if len(c.out) > 0 && !c.writing && !c.closed {
 		c.writeSome()
@@ -221,7 +238,7 @@
 // writeSome writes what the socket takes at once. The caller holds mu.
 func (c *client) writeSome() {
 	n, err := sock.WriteNow(c.nc, c.out)
-	c.fr.core.Memory.Give(int64(n))
+	c.fr.env.Memory.Give(int64(n))
 	if c.out = c.out[n:]; len(c.out) == 0 {
 		c.out = nil
 	}
@@ -248,7 +265,7 @@
 		c.nc.SetWriteDeadline(time.Now().Add(writeWithin))
 		_, err := c.nc.Write(out)
 		c.mu.Lock()
-		c.fr.core.Memory.Give(int64(len(out)))
+		c.fr.env.Memory.Give(int64(len(out)))
 		if err != nil {
 			c.close()
 		}
@@ -344,14 +361,14 @@
 		if s.ask != nil {
 			left = append(left, s.ask)
 		}
-		c.fr.core.Memory.Give(s.cost)
+		c.fr.env.Memory.Give(s.cost)
 	}
-	c.fr.core.Memory.Give(int64(len(c.out)))
+	c.fr.env.Memory.Give(int64(len(c.out)))
 	c.slots, c.out = nil, nil
 	c.mu.Unlock()
 	c.in.Release()
-	c.fr.core.Conns.Remove(c)
+	c.fr.env.Conns.Remove(c)
 	for _, a := range left {
-		c.fr.core.Post(func() { c.fr.core.Gone(&a.Request) })
+		a.pool.Post(func() { a.pool.Gone(&a.Request) })
 	}
 }
--- a/internal/front/resp2/front.go
+++ b/internal/front/resp2/front.go
@@ -13,30 +13,34 @@
 	"snowhall/internal/account"
 	"snowhall/internal/budget"
 	"snowhall/internal/core"
+	"snowhall/internal/route"
 )
 
 const comeBack = 100 * time.Millisecond // what a client is told for which there is no room
 
-// Config names the classes and plans as clients do, in the order of the module's indices.
+// Config is one listener.
 type Config struct {
-	Classes, Plans []string
+	Listener string // its name, for routes
+	// Routes says that requests are routed by what they name; else all go to one pool.
+	Routes bool
 	// Accounts finds what is configured for a customer; nil, or a nil result: nothing, and the request's own plan and
 	// set of front doors hold. Any goroutine calls it.
-	Accounts func(customer string) *account.Account
+	Accounts func(pool *core.Core, customer string) *account.Account
 }
 
 // Front takes connections and reads requests from them.
 type Front struct {
-	core      *core.Core
+	env       *core.Env
 	cfg       Config
 	log       *slog.Logger
 	ln        net.Listener
+	plain     *route.Query // where requests are not told apart
 	lingering atomic.Int64 // connections on which only the rest of what was refused is awaited
 }
 
 // New makes a front on a listener, which it closes.
-func New(c *core.Core, cfg Config, ln net.Listener, log *slog.Logger) *Front {
-	return &Front{core: c, cfg: cfg, ln: ln, log: log}
+func New(env *core.Env, cfg Config, ln net.Listener, log *slog.Logger) *Front {
+	return &Front{env: env, cfg: cfg, ln: ln, log: log, plain: &route.Query{Listener: cfg.Listener}}
 }
 
 // Serve implements [core.Front].
@@ -57,14 +61,14 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if !fr.core.Conns.Room() {
+		if !fr.env.Conns.Room() {
 			nc.SetWriteDeadline(time.Now().Add(time.Second))
 			nc.Write(busyAnswer(comeBack)) // nothing was read, so nothing has run
 			nc.Close()
 			continue
 		}
 		c := newClient(fr, nc)
-		fr.core.Conns.Add(c)
+		fr.env.Conns.Add(c)
 		go c.read()
 	}
 }
@@ -73,7 +77,7 @@
 // last answer.
 func (fr *Front) Drain() bool {
 	var all []*client
-	for _, c := range budget.Of[*client](fr.core.Conns) {
+	for _, c := range budget.Of[*client](fr.env.Conns) {
 		if c.fr == fr {
 			all = append(all, c)
 		}
--- a/internal/front/resp2/request.go
+++ b/internal/front/resp2/request.go
@@ -15,6 +15,7 @@
 	"snowhall"
 	"snowhall/internal/core"
 	"snowhall/internal/resp"
+	"snowhall/internal/route"
 )
 
 // lateAsk is how much longer than its class's time a client may say that it waits.
@@ -23,6 +24,7 @@
 // ask is a client's request as its connection read it.
 type ask struct {
 	core.Request
+	pool     *core.Core
 	conn     *client
 	slot     *slot
 	args     [][]byte // the command as it came
@@ -60,7 +62,7 @@
 }
 
 // parse reads a request. What it can't read goes nowhere.
-func (fr *Front) parse(name string, args [][]byte) (*ask, error) {
+func (fr *Front) parse(pool *core.Core, name string, args [][]byte) (*ask, error) {
 	if len(args) != 4 && len(args) != 5 {
 		return nil, fmt.Errorf("wrong number of arguments for '%s'", name)
 	}
@@ -71,8 +73,8 @@
 	if len(args[2]) == 0 {
 		return nil, errors.New("the id is empty")
 	}
-	a := &ask{args: args, list: 3}
-	a.Caller, a.ID, a.At = a, string(args[2]), fr.core.Now()
+	a := &ask{pool: pool, args: args, list: 3}
+	a.Caller, a.ID, a.At = a, string(args[2]), fr.env.Now()
 	a.Class, a.Plan, a.Customer = -1, -1, strings.ToLower(string(args[1]))
 	key, first := false, false
 	var seen [16]string
@@ -87,10 +89,10 @@
 		ok := true
 		switch k {
 		case "c":
-			a.Class = slices.Index(fr.cfg.Classes, v)
+			a.Class = slices.Index(pool.Classes, v)
 			ok = a.Class >= 0
 		case "t":
-			a.Plan = slices.Index(fr.cfg.Plans, v)
+			a.Plan = slices.Index(pool.Plans, v)
 			ok = a.Plan >= 0
 		case "d":
 			ms, err := strconv.ParseUint(v, 10, 31)
@@ -105,14 +107,14 @@
 			ok = v == "1" || v == "0"
 		case "units":
 			a.Units, ok = resp.Decimal(v)
-			ok = ok && a.Units > 0 && a.Units <= cmp.Or(fr.core.Settings.MaxUnits, 1e9)
+			ok = ok && a.Units > 0 && a.Units <= cmp.Or(pool.Settings.MaxUnits, 1e9)
 		case "spread":
 			n, err := strconv.ParseUint(v, 10, 31)
-			ok = err == nil && n > 0 && int(n) <= fr.core.Settings.Doors
+			ok = err == nil && n > 0 && int(n) <= pool.Settings.Doors
 			a.Doors = int(n)
 		case "first":
 			n, err := strconv.ParseUint(v, 10, 31)
-			ok = err == nil && int(n) < fr.core.Settings.Doors
+			ok = err == nil && int(n) < pool.Settings.Doors
 			first = true
 		}
 		if !ok {
@@ -128,7 +130,7 @@
 		return nil, err
 	}
 	// A request and its timers are kept for as long as the client says that it waits.
-	class := &fr.core.Settings.Classes[a.Class]
+	class := &pool.Settings.Classes[a.Class]
 	if class.GiveUp > 0 && a.Wait > class.GiveUp+lateAsk {
 		return nil, errors.New("ill-formed or unknown d")
 	}
@@ -141,13 +143,32 @@
 	return a, nil
 }
 
+// pool finds where a command leads, by what it names: its class, its customer and, where it has one, its host.
+func (fr *Front) pool(args [][]byte) *core.Core {
+	if !fr.cfg.Routes {
+		return fr.env.Router.Route(fr.plain)
+	}
+	q := route.Query{Listener: fr.cfg.Listener}
+	if len(args) > 3 {
+		q.Account = strings.ToLower(string(args[1]))
+		for item := range bytes.SplitSeq(args[3], []byte{','}) {
+			if v, ok := bytes.CutPrefix(item, []byte("c=")); ok {
+				q.Class = string(v)
+			} else if v, ok := bytes.CutPrefix(item, []byte("host=")); ok {
+				q.Host = strings.ToLower(string(v))
+			}
+		}
+	}
+	return fr.env.Router.Route(&q)
+}
+
 // configured holds a request to what is configured for its customer: one plan and one set of front doors over all
 // fronts, as the quota and the ceiling are one.
 func (fr *Front) configured(a *ask) error {
 	if fr.cfg.Accounts == nil {
 		return nil
 	}
-	acct := fr.cfg.Accounts(a.Customer)
+	acct := fr.cfg.Accounts(a.pool, a.Customer)
 	if acct == nil {
 		return nil
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -23,10 +23,13 @@
 }
 
 // New makes a loop whose clock starts at the present Unix time.
-func New() *Loop {
+func New() *Loop { return NewAt(time.Now()) }
+
+// NewAt makes a loop whose clock starts at a time, so that several loops have one clock.
+func NewAt(begun time.Time) *Loop {
 	alarm := time.NewTimer(time.Hour)
 	alarm.Stop()
-	return &Loop{begun: time.Now(), tasks: make(chan func(), tasksMost), done: make(chan struct{}), alarm: alarm}
+	return &Loop{begun: begun, tasks: make(chan func(), tasksMost), done: make(chan struct{}), alarm: alarm}
 }
 
 // Now is the Unix time at the start and what has passed since, in nanoseconds. All front doors must read about the
@@ -44,6 +47,9 @@
 	return l.Now()
 }
 
+// Begun is when the clock started.
+func (l *Loop) Begun() time.Time { return l.begun }
+
 // Post hands the loop a task, from any other goroutine. After Close it is passed over.
 func (l *Loop) Post(task func()) {
 	select {
--- a/internal/service/clients_test.go
+++ b/internal/service/clients_test.go
@@ -239,7 +239,7 @@
 	if m := last.Message(); m[0] != "-BUSY 100" && !strings.HasPrefix(m[0], "-ERR no memory") {
 		t.Errorf("got %q", m)
 	}
-	if held := w.p.Memory.Held(); held > 1<<18 {
+	if held := w.p.env.Memory.Held(); held > 1<<18 {
 		t.Errorf("%d bytes are held", held)
 	}
 }
--- a/internal/service/hosted/config.go
+++ b/internal/service/hosted/config.go
@@ -20,6 +20,7 @@
 	"snowhall"
 	"snowhall/internal/account"
 	"snowhall/internal/front/authz"
+	"snowhall/internal/route"
 	"snowhall/internal/service"
 	"snowhall/internal/verdict"
 	"snowhall/internal/wire"
@@ -34,8 +35,77 @@
 		Sockets                        int
 		MostOpen                       int `toml:"most_open"`
 		Doors, Rank                    int
+		DefaultPool                    string `toml:"default_pool"`
 		Allow                          []string
 	}
+	poolParts
+	Pool []struct {
+		Name, Discovery, Counter, Zone, Seed string
+		CounterSpace                         *string `toml:"counter_space"`
+		MostOpen                             int     `toml:"most_open"`
+		poolParts
+	}
+	Route []struct {
+		Name, Listener, Host, Path, Kind string
+		Methods                          []string
+		Headers                          map[string]string
+		Class, Account                   string
+		To                               []struct {
+			Pool   string
+			Weight *float64
+		}
+	}
+	Verdicts struct {
+		Keep       Duration
+		Most       int
+		PerAccount int `toml:"per_account"`
+		Repeats    int
+		Holds      int
+	}
+	Listener []fileListener
+	Account  []struct {
+		Name, Customer, Plan string
+		Keys, Certificates   []string
+		Classes              []string
+		Doors                int
+		Hold                 Duration
+	}
+}
+
+// fileListener is one listener as it stands in the file.
+type fileListener struct {
+	Name, Address, Protocol string
+	Trusted                 []string
+	TrustedCertificates     []string `toml:"trusted_certificates"`
+	EndPath                 string   `toml:"end_path"`
+	MaxHeaderBytes          int      `toml:"max_header_bytes"`
+	MaxHeaders              int      `toml:"max_headers"`
+	MaxBody                 int64    `toml:"max_body"`
+	HeaderTimeout           Duration `toml:"header_timeout"`
+	IdleTimeout             Duration `toml:"idle_timeout"`
+	MaxStreams              int      `toml:"max_streams"`
+	TLS                     *struct {
+		Certificate, Key string
+		ClientCA         string `toml:"client_ca"`
+	} `toml:"tls"`
+	Check []struct {
+		Path, Dialect     string
+		Identify          []string
+		KeyHeader         *string `toml:"key_header"`
+		AccountHeader     string  `toml:"account_header"`
+		CertificateHeader string  `toml:"certificate_header"`
+		Repeat            string
+		RequestIDHeader   string   `toml:"request_id_header"`
+		NonceHeader       string   `toml:"nonce_header"`
+		UnitsHeader       string   `toml:"units_header"`
+		DefaultClass      string   `toml:"default_class"`
+		Within            Duration `toml:"within"`
+		Undecided         string
+	}
+}
+
+// poolParts are what each pool has of its own. Without pools they stand at the top of the file.
+type poolParts struct {
 	Limits struct {
 		MaxAttempts    int      `toml:"max_attempts"`
 		DialTimeout    Duration `toml:"dial_timeout"`
@@ -70,50 +140,6 @@
 		CeilingRate         float64 `toml:"ceiling_rate"`
 		CeilingDepth        float64 `toml:"ceiling_depth"`
 	}
-	Verdicts struct {
-		Keep       Duration
-		Most       int
-		PerAccount int `toml:"per_account"`
-		Repeats    int
-		Holds      int
-	}
-	Listener []struct {
-		Name, Address, Protocol string
-		Trusted                 []string
-		TrustedCertificates     []string `toml:"trusted_certificates"`
-		EndPath                 string   `toml:"end_path"`
-		MaxHeaderBytes          int      `toml:"max_header_bytes"`
-		MaxHeaders              int      `toml:"max_headers"`
-		MaxBody                 int64    `toml:"max_body"`
-		HeaderTimeout           Duration `toml:"header_timeout"`
-		IdleTimeout             Duration `toml:"idle_timeout"`
-		MaxStreams              int      `toml:"max_streams"`
-		TLS                     *struct {
-			Certificate, Key string
-			ClientCA         string `toml:"client_ca"`
-		} `toml:"tls"`
-		Check []struct {
-			Path, Dialect     string
-			Identify          []string
-			KeyHeader         *string `toml:"key_header"`
-			AccountHeader     string  `toml:"account_header"`
-			CertificateHeader string  `toml:"certificate_header"`
-			Repeat            string
-			RequestIDHeader   string   `toml:"request_id_header"`
-			NonceHeader       string   `toml:"nonce_header"`
-			UnitsHeader       string   `toml:"units_header"`
-			DefaultClass      string   `toml:"default_class"`
-			Within            Duration `toml:"within"`
-			Undecided         string
-		}
-	}
-	Account []struct {
-		Name, Customer, Plan string
-		Keys, Certificates   []string
-		Classes              []string
-		Doors                int
-		Hold                 Duration
-	}
 	Rule []struct {
 		Host, Path, Class string
 		Methods           []string
@@ -121,6 +147,22 @@
 	}
 }
 
+// poolFile is one pool as it stands in the file.
+type poolFile struct {
+	poolParts
+	name, discovery, counter, zone, seed, space string
+	mostOpen                                    int
+	prefix, node                                string // of the keys of its parts, and of its own
+}
+
+// Pool is one pool as configured.
+type Pool struct {
+	Node     *service.Config // its core and sides
+	Space    string          // keeps its numbers on the counter apart
+	Accounts *account.Table  // with the plans and classes of the pool
+	text     string          // all of it but the accounts and rules: a change of it makes a new pool
+}
+
 // Listener is one listener as configured.
 type Listener struct {
 	Name, Address string
@@ -134,9 +176,11 @@
 
 // Config is a checked configuration.
 type Config struct {
-	Node      *service.Config // the core and its sides
+	Node      *service.Config // of the first pool, with what the process has
+	Pools     []Pool          // one at least
+	Routes    *route.Table
 	Listeners []Listener
-	Accounts  *account.Table
+	Accounts  *account.Table // by whose credentials checks are known
 	Shared    authz.SharedConfig
 }
 
@@ -172,13 +216,35 @@
 // config checks what was read.
 func (f *file) config() (*Config, error) {
 	c := &Config{}
-	var err error
-	if c.Node, err = f.node(); err != nil {
+	pools, err := f.pools()
+	if err != nil {
 		return nil, err
 	}
-	names := account.Names{Classes: c.Node.Transport.Classes, Plans: c.Node.Transport.Plans,
-		Policies: authz.Policies(c.Node.Transport.Plans, c.Node.Settings.Plans)}
-	if err := f.accounts(c, names); err != nil {
+	most := time.Hour
+	var classes []string
+	for i := range pools {
+		pf := &pools[i]
+		n, err := f.node(pf)
+		if err != nil {
+			return nil, err
+		}
+		p := Pool{Node: n, Space: pf.space, text: fmt.Sprintf("%+v %+v %q %v", n.Settings, n.Transport, pf.space, n.Counter != "")}
+		if p.Accounts, err = f.accounts(n, pf, len(f.Pool) > 0); err != nil {
+			return nil, err
+		}
+		for _, cl := range n.Settings.Classes {
+			most = min(most, cl.GiveUp)
+		}
+		classes = append(classes, n.Transport.Classes...)
+		c.Pools = append(c.Pools, p)
+	}
+	c.Node, c.Accounts = c.Pools[0].Node, c.Pools[0].Accounts
+	for i, a := range f.Account {
+		if !slices.ContainsFunc(c.Pools, func(p Pool) bool { return slices.Contains(p.Node.Transport.Plans, a.Plan) }) {
+			return nil, fault(fmt.Sprintf("account[%d].plan", i), "no plan is named %q", a.Plan)
+		}
+	}
+	if err := f.routes(c); err != nil {
 		return nil, err
 	}
 	allow, err := prefixes("node.allow", f.Node.Allow)
@@ -189,7 +255,7 @@
 		return nil, fault("listener", "there is none")
 	}
 	for i := range f.Listener {
-		l, err := f.listener(i, c, allow)
+		l, err := f.listener(i, c, allow, classes, most)
 		if err != nil {
 			return nil, err
 		}
@@ -208,34 +274,127 @@
 	return c, nil
 }
 
+// pools gathers the pools; without any the whole file is one.
+func (f *file) pools() ([]poolFile, error) {
+	n := &f.Node
+	if len(f.Pool) == 0 {
+		return []poolFile{{poolParts: f.poolParts, name: cmp.Or(n.Name, "gapgapd"), discovery: n.Discovery, counter: n.Counter, zone: n.Zone,
+			seed: n.Seed, mostOpen: n.MostOpen, node: "node."}}, nil
+	}
+	for _, k := range []struct {
+		key   string
+		there bool
+	}{{"class", len(f.Class) > 0}, {"plan", len(f.Plan) > 0}, {"rule", len(f.Rule) > 0}, {"node.discovery", n.Discovery != ""},
+		{"node.counter", n.Counter != ""}, {"limits", f.Limits != (poolParts{}).Limits}, {"obligations", f.Obligations != (poolParts{}).Obligations}} {
+		if k.there {
+			return nil, fault(k.key, "belongs into a pool, where there are pools")
+		}
+	}
+	var all []poolFile
+	for i, p := range f.Pool {
+		prefix := fmt.Sprintf("pool[%d].", i)
+		if !plainName(p.Name) || slices.ContainsFunc(all, func(o poolFile) bool { return o.name == p.Name }) {
+			return nil, fault(prefix+"name", "%q is no name, or stands twice", p.Name)
+		}
+		space := p.Name
+		if p.CounterSpace != nil {
+			space = *p.CounterSpace
+		}
+		all = append(all, poolFile{poolParts: p.poolParts, name: p.Name, discovery: p.Discovery, counter: p.Counter, zone: p.Zone,
+			seed: p.Seed, mostOpen: cmp.Or(p.MostOpen, n.MostOpen), space: space, prefix: prefix, node: prefix})
+	}
+	return all, nil
+}
+
+var kinds = map[string]route.PathKind{"": route.Prefix, "prefix": route.Prefix, "exact": route.Exact, "template": route.Template}
+
+// routes compiles the routing table.
+func (f *file) routes(c *Config) (err error) {
+	var names []string
+	for _, p := range c.Pools {
+		names = append(names, p.Node.Name)
+	}
+	fallback := f.Node.DefaultPool
+	if len(f.Pool) == 0 {
+		if fallback != "" {
+			return fault("node.default_pool", "there are no pools")
+		}
+		fallback = names[0]
+	}
+	var rules []route.Rule
+	for i, r := range f.Route {
+		key := func(k string) string { return fmt.Sprintf("route[%d].%s", i, k) }
+		kind, ok := kinds[r.Kind]
+		if !ok {
+			return fault(key("kind"), "%q is not prefix, exact or template", r.Kind)
+		}
+		out := route.Rule{Name: r.Name, Listener: r.Listener, Host: r.Host, Path: r.Path, Kind: kind, Methods: r.Methods, Class: r.Class}
+		if r.Listener != "" && !slices.ContainsFunc(f.Listener, func(l fileListener) bool { return l.Name == r.Listener }) {
+			return fault(key("listener"), "no listener is named %q", r.Listener)
+		}
+		if r.Account != "" {
+			a := c.Accounts.ByName(r.Account)
+			if a == nil {
+				return fault(key("account"), "no account is named %q", r.Account)
+			}
+			out.Account = a.Customer // as all protocols know it
+		}
+		for name, v := range r.Headers {
+			out.Headers = append(out.Headers, route.Header{Name: http.CanonicalHeaderKey(name), Value: v})
+		}
+		slices.SortFunc(out.Headers, func(a, b route.Header) int { return cmp.Compare(a.Name, b.Name) })
+		for _, g := range r.To {
+			w := 1.0
+			if g.Weight != nil {
+				w = *g.Weight
+			}
+			out.Targets = append(out.Targets, route.Target{Pool: g.Pool, Weight: w})
+		}
+		rules = append(rules, out)
+	}
+	c.Routes, err = route.Compile(rules, fallback, names)
+	var e *route.Error
+	if errors.As(err, &e) {
+		if e.Index < 0 {
+			return &authz.Fault{Field: "node.default_pool", Err: e.Err}
+		}
+		field := e.Field
+		if field == "targets" {
+			field = "to"
+		}
+		return &authz.Fault{Field: fmt.Sprintf("route[%d].%s", e.Index, field), Err: fmt.Errorf("rule %q: %w", e.Rule, e.Err)}
+	}
+	return err
+}
+
 var effects = map[string]snowhall.Effect{"safe": snowhall.Safe, "keyed": snowhall.Keyed, "unsafe": snowhall.Unsafe}
 var groups = map[string]snowhall.Group{"": snowhall.GroupAll, "all": snowhall.GroupAll, "zone": snowhall.GroupZone,
 	"cell": snowhall.GroupCell}
 
 // node checks what concerns the core and its sides.
-func (f *file) node() (*service.Config, error) {
+func (f *file) node(pf *poolFile) (*service.Config, error) {
 	n := &f.Node
-	set := snowhall.Settings{Doors: cmp.Or(n.Doors, 1), Rank: n.Rank, MaxAttempts: cmp.Or(f.Limits.MaxAttempts, 3),
-		MayCancel: f.Limits.Cancel == nil || *f.Limits.Cancel, MayProbe: f.Limits.Probe,
-		RetryAfter: f.Limits.RetryAfter > 0, MaxRetryAfter: time.Duration(f.Limits.RetryAfter),
-		StopSendingWithin: cmp.Or(time.Duration(f.Obligations.StopSending), 250*time.Millisecond),
-		FallMultiple:      cmp.Or(f.Obligations.FallMultiple, 3), FallWindow: cmp.Or(time.Duration(f.Obligations.FallWindow), 3*time.Second),
-		ColdFrom: cmp.Or(f.Obligations.ColdFrom, 0.26), WarmWithin: cmp.Or(time.Duration(f.Obligations.WarmWithin), 15*time.Second),
-		Counter: n.Counter != "", CounterTimeout: cmp.Or(time.Duration(f.Limits.CounterTimeout), 50*time.Millisecond),
-		MaxUnits: cmp.Or(f.Limits.MaxUnits, 1), Resolution: 2 * time.Millisecond}
-	tr := wire.Transport{DialTimeout: cmp.Or(time.Duration(f.Limits.DialTimeout), 250*time.Millisecond),
-		ConnIdle: cmp.Or(time.Duration(f.Limits.ConnIdle), 30*time.Second), MostOpen: cmp.Or(n.MostOpen, 10_000),
-		Zones: []string{n.Zone}, Kinds: []string{""}}
+	set := snowhall.Settings{Doors: cmp.Or(n.Doors, 1), Rank: n.Rank, MaxAttempts: cmp.Or(pf.Limits.MaxAttempts, 3),
+		MayCancel: pf.Limits.Cancel == nil || *pf.Limits.Cancel, MayProbe: pf.Limits.Probe,
+		RetryAfter: pf.Limits.RetryAfter > 0, MaxRetryAfter: time.Duration(pf.Limits.RetryAfter),
+		StopSendingWithin: cmp.Or(time.Duration(pf.Obligations.StopSending), 250*time.Millisecond),
+		FallMultiple:      cmp.Or(pf.Obligations.FallMultiple, 3), FallWindow: cmp.Or(time.Duration(pf.Obligations.FallWindow), 3*time.Second),
+		ColdFrom: cmp.Or(pf.Obligations.ColdFrom, 0.26), WarmWithin: cmp.Or(time.Duration(pf.Obligations.WarmWithin), 15*time.Second),
+		Counter: pf.counter != "", CounterTimeout: cmp.Or(time.Duration(pf.Limits.CounterTimeout), 50*time.Millisecond),
+		MaxUnits: cmp.Or(pf.Limits.MaxUnits, 1), Resolution: 2 * time.Millisecond}
+	tr := wire.Transport{DialTimeout: cmp.Or(time.Duration(pf.Limits.DialTimeout), 250*time.Millisecond),
+		ConnIdle: cmp.Or(time.Duration(pf.Limits.ConnIdle), 30*time.Second), MostOpen: cmp.Or(pf.mostOpen, 10_000),
+		Zones: []string{pf.zone}, Kinds: []string{""}}
 	for _, d := range []struct {
 		key string
 		bad bool
-	}{{"node.memory_mb", n.MemoryMB < 0}, {"node.sockets", n.Sockets < 0}, {"node.most_open", n.MostOpen < 0},
-		{"node.doors", n.Doors < 0}, {"limits.max_attempts", f.Limits.MaxAttempts < 0},
-		{"limits.dial_timeout", f.Limits.DialTimeout < 0}, {"limits.conn_idle", f.Limits.ConnIdle < 0},
-		{"limits.retry_after", f.Limits.RetryAfter < 0}, {"limits.counter_timeout", f.Limits.CounterTimeout < 0},
-		{"limits.max_units", f.Limits.MaxUnits < 0}, {"obligations.stop_sending_within", f.Obligations.StopSending < 0},
-		{"obligations.fall_multiple", f.Obligations.FallMultiple < 0}, {"obligations.fall_window", f.Obligations.FallWindow < 0},
-		{"obligations.cold_from", f.Obligations.ColdFrom < 0}, {"obligations.warm_within", f.Obligations.WarmWithin < 0}} {
+	}{{"node.memory_mb", n.MemoryMB < 0}, {"node.sockets", n.Sockets < 0}, {pf.node + "most_open", pf.mostOpen < 0},
+		{"node.doors", n.Doors < 0}, {pf.prefix + "limits.max_attempts", pf.Limits.MaxAttempts < 0},
+		{pf.prefix + "limits.dial_timeout", pf.Limits.DialTimeout < 0}, {pf.prefix + "limits.conn_idle", pf.Limits.ConnIdle < 0},
+		{pf.prefix + "limits.retry_after", pf.Limits.RetryAfter < 0}, {pf.prefix + "limits.counter_timeout", pf.Limits.CounterTimeout < 0},
+		{pf.prefix + "limits.max_units", pf.Limits.MaxUnits < 0}, {pf.prefix + "obligations.stop_sending_within", pf.Obligations.StopSending < 0},
+		{pf.prefix + "obligations.fall_multiple", pf.Obligations.FallMultiple < 0}, {pf.prefix + "obligations.fall_window", pf.Obligations.FallWindow < 0},
+		{pf.prefix + "obligations.cold_from", pf.Obligations.ColdFrom < 0}, {pf.prefix + "obligations.warm_within", pf.Obligations.WarmWithin < 0}} {
 		if d.bad {
 			return nil, fault(d.key, "is negative")
 		}
@@ -246,16 +405,16 @@
 	for _, a := range []struct {
 		key, addr string
 		needed    bool
-	}{{"node.discovery", n.Discovery, true}, {"node.counter", n.Counter, false}} {
+	}{{pf.node + "discovery", pf.discovery, true}, {pf.node + "counter", pf.counter, false}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil && (a.needed || a.addr != "") {
 			return nil, fault(a.key, "is no host:port")
 		}
 	}
-	if len(f.Class) == 0 {
-		return nil, fault("class", "there is none")
+	if len(pf.Class) == 0 {
+		return nil, fault(pf.prefix+"class", "there is none")
 	}
-	for i, cl := range f.Class {
-		key := func(k string) string { return fmt.Sprintf("class[%d].%s", i, k) }
+	for i, cl := range pf.Class {
+		key := func(k string) string { return fmt.Sprintf("%sclass[%d].%s", pf.prefix, i, k) }
 		effect, ok := effects[cl.Effect]
 		group, known := groups[cl.Group]
 		switch {
@@ -278,11 +437,11 @@
 		set.Classes = append(set.Classes, snowhall.Class{Worth: cl.Worth, LateWorth: cl.LateWorth, Aim: time.Duration(cl.Aim),
 			GiveUp: time.Duration(cl.GiveUp), Effect: effect, Group: group, Window: time.Duration(cl.Window)})
 	}
-	if len(f.Plan) == 0 {
-		return nil, fault("plan", "there is none")
+	if len(pf.Plan) == 0 {
+		return nil, fault(pf.prefix+"plan", "there is none")
 	}
-	for i, p := range f.Plan {
-		key := func(k string) string { return fmt.Sprintf("plan[%d].%s", i, k) }
+	for i, p := range pf.Plan {
+		key := func(k string) string { return fmt.Sprintf("%splan[%d].%s", pf.prefix, i, k) }
 		switch {
 		case !plainName(p.Name) || slices.Contains(tr.Plans, p.Name):
 			return nil, fault(key("name"), "%q is no name, or stands twice", p.Name)
@@ -303,17 +462,17 @@
 		set.Plans = append(set.Plans, snowhall.Plan{Rate: p.Rate, Burst: p.Burst, AtOnce: p.AtOnce, Factor: cmp.Or(p.Factor, 1),
 			OverWorth: p.OverWorth, OverCost: p.OverCost, CeilingRate: p.CeilingRate, CeilingDepth: p.CeilingDepth})
 	}
-	c := &service.Config{Name: cmp.Or(n.Name, "gapgapd"), Discovery: n.Discovery, Counter: n.Counter, MemoryMB: n.MemoryMB,
+	c := &service.Config{Name: pf.name, Discovery: pf.discovery, Counter: pf.counter, MemoryMB: n.MemoryMB,
 		Sockets: n.Sockets, Settings: set, Transport: tr}
-	if n.Seed == "" {
+	if pf.seed == "" {
 		var b [8]byte
 		rand.Read(b[:])
 		c.Seed = binary.BigEndian.Uint64(b[:])
 		return c, nil
 	}
 	var err error
-	if c.Seed, err = strconv.ParseUint(n.Seed, 16, 64); err != nil {
-		return nil, fault("node.seed", "is not up to 16 hex digits")
+	if c.Seed, err = strconv.ParseUint(pf.seed, 16, 64); err != nil {
+		return nil, fault(pf.node+"seed", "is not up to 16 hex digits")
 	}
 	return c, nil
 }
@@ -324,23 +483,30 @@
 		strings.Trim(s, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._") == ""
 }
 
-func (f *file) accounts(c *Config, names account.Names) error {
+// accounts compiles the accounts for one pool. Where there are several an account has no place in those that have not its
+// plan, and its classes are those of the pools together.
+func (f *file) accounts(n *service.Config, pf *poolFile, several bool) (*account.Table, error) {
+	names := account.Names{Classes: n.Transport.Classes, Plans: n.Transport.Plans,
+		Policies: authz.Policies(n.Transport.Plans, n.Settings.Plans), Several: several}
 	var specs []account.Spec
 	for i, a := range f.Account {
-		if a.Doors > c.Node.Settings.Doors {
-			return fault(fmt.Sprintf("account[%d].doors", i), "is over node.doors")
+		if a.Doors > n.Settings.Doors {
+			return nil, fault(fmt.Sprintf("account[%d].doors", i), "is over node.doors")
 		}
 		specs = append(specs, account.Spec{Name: a.Name, Customer: a.Customer, Plan: a.Plan, Keys: a.Keys,
 			Certificates: a.Certificates, Classes: a.Classes, Doors: a.Doors,
 			Hold: cmp.Or(time.Duration(a.Hold), 30*time.Second)})
 	}
 	var rules []account.Rule
-	for _, r := range f.Rule {
+	for _, r := range pf.Rule {
 		rules = append(rules, account.Rule{Host: r.Host, Methods: r.Methods, Path: r.Path, Class: r.Class, Units: r.Units})
 	}
-	var err error
-	c.Accounts, err = account.Compile(specs, rules, names, c.Node.Settings.MaxUnits)
-	return err
+	t, err := account.Compile(specs, rules, names, n.Settings.MaxUnits)
+	var e *account.Error
+	if errors.As(err, &e) && strings.HasPrefix(e.Field, "rule") {
+		e.Field = pf.prefix + e.Field
+	}
+	return t, err
 }
 
 // prefixes reads addresses, single ones or whole networks.
@@ -360,7 +526,7 @@
 }
 
 // listener checks one listener.
-func (f *file) listener(i int, c *Config, allow []netip.Prefix) (Listener, error) {
+func (f *file) listener(i int, c *Config, allow []netip.Prefix, classes []string, most time.Duration) (Listener, error) {
 	in := &f.Listener[i]
 	base := fmt.Sprintf("listener[%d]", i)
 	key := func(k string) string { return base + "." + k }
@@ -429,7 +595,7 @@
 			AccountHeader: http.CanonicalHeaderKey(r.AccountHeader), CertificateHeader: http.CanonicalHeaderKey(r.CertificateHeader),
 			RequestIDHeader: http.CanonicalHeaderKey(cmp.Or(r.RequestIDHeader, authz.DefaultRequestID)),
 			NonceHeader:     http.CanonicalHeaderKey(cmp.Or(r.NonceHeader, authz.DefaultNonce)),
-			UnitsHeader:     http.CanonicalHeaderKey(r.UnitsHeader), DefaultClass: -1,
+			UnitsHeader:     http.CanonicalHeaderKey(r.UnitsHeader), DefaultClass: r.DefaultClass,
 			Within: cmp.Or(time.Duration(r.Within), authz.DefaultWithin)}
 		if r.KeyHeader != nil {
 			rt.KeyHeader = http.CanonicalHeaderKey(*r.KeyHeader)
@@ -444,15 +610,11 @@
 		if len(r.Identify) == 0 {
 			rt.Identify = []authz.Identity{authz.ByKey}
 		}
-		if r.DefaultClass != "" {
-			if rt.DefaultClass = slices.Index(c.Node.Transport.Classes, r.DefaultClass); rt.DefaultClass < 0 {
-				return l, fault(at("default_class"), "no class is named %q", r.DefaultClass)
-			}
+		if r.DefaultClass != "" && !slices.Contains(classes, r.DefaultClass) {
+			return l, fault(at("default_class"), "no class is named %q", r.DefaultClass)
 		}
-		for _, cl := range c.Node.Settings.Classes {
-			if rt.Within > cl.GiveUp {
-				return l, fault(at("within"), "%v is over a class's give_up, %v", rt.Within, cl.GiveUp)
-			}
+		if rt.Within > most {
+			return l, fault(at("within"), "%v is over a class's give_up, %v", rt.Within, most)
 		}
 		switch r.Undecided {
 		case "", "deny":
--- a/internal/service/hosted/config_test.go
+++ b/internal/service/hosted/config_test.go
@@ -35,7 +35,7 @@
 		t.Fatalf("listeners %+v", c.Listeners)
 	}
 	r := c.Listeners[1].Authz.Routes
-	if r[0].Dialect != authz.Nginx || r[0].Repeat != authz.ByRequestID || r[0].DefaultClass != 0 || r[1].NonceHeader != "Idempotency-Key" ||
+	if r[0].Dialect != authz.Nginx || r[0].Repeat != authz.ByRequestID || r[0].DefaultClass != "evaluate" || r[1].NonceHeader != "Idempotency-Key" ||
 		r[3].Identify[0] != authz.ByCertificate || r[3].UnitsHeader != "X-Units" {
 		t.Errorf("routes %+v", r)
 	}
--- a/internal/service/hosted/hosted.go
+++ b/internal/service/hosted/hosted.go
@@ -9,39 +9,61 @@
 	"log/slog"
 	"net"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"snowhall/internal/account"
 	"snowhall/internal/core"
 	"snowhall/internal/front/authz"
 	"snowhall/internal/front/resp2"
+	"snowhall/internal/loop"
 	"snowhall/internal/service"
 )
 
-// figuresEvery is how often the figures are logged.
-const figuresEvery = time.Minute
+const (
+	figuresEvery = time.Minute           // how often the figures are logged
+	coarseEvery  = 20 * time.Millisecond // how often the fronts' coarse clock is set
+	drainEvery   = 10 * time.Millisecond // how often a shutdown and a pool's removal are looked at
+)
 
 // Service is a gapgapd that listens.
 type Service struct {
-	*core.Core
+	*core.Env
 	Shared *authz.Shared
-	cfg    *Config
 	log    *slog.Logger
+	clock  *loop.Loop // whose time all loops share
+	coarse atomic.Int64
 	fronts []core.Front
+	checks []*authz.Front
 	addrs  map[string]net.Addr
+	done   chan struct{}
+	router router
+
+	mu     sync.Mutex // held to change pools
+	cfg    *Config
+	pools  map[string]*pool
+	ended  bool
+	leaves sync.WaitGroup // pools that are being removed
 }
 
-// New makes the service and opens its listeners; it takes no connection before Run.
+// New makes the service and opens its listeners; it takes no connection before Serve.
 func New(cfg *Config, log *slog.Logger) (_ *Service, err error) {
-	c, err := service.NewCore(cfg.Node, log)
-	if err != nil {
+	s := &Service{log: log, clock: loop.New(), addrs: map[string]net.Addr{}, done: make(chan struct{}), cfg: cfg, pools: map[string]*pool{}}
+	s.Env = service.NewEnv(s.clock, cfg.Node.MemoryMB, cfg.Node.Sockets, &s.router)
+	s.coarse.Store(int64(s.clock.Now()))
+	s.Env.Coarse = func() time.Duration { return time.Duration(s.coarse.Load()) }
+	if s.Shared, err = authz.NewShared(s.Env, cfg.Shared); err != nil {
 		return nil, err
 	}
-	shared, err := authz.NewShared(c, cfg.Shared, cfg.Accounts, log)
-	if err != nil {
-		return nil, err
+	s.Shared.SetIdentities(cfg.Accounts)
+	for i := range cfg.Pools {
+		p, err := s.newPool(&cfg.Pools[i], len(cfg.Pools))
+		if err != nil {
+			return nil, err
+		}
+		s.pools[p.cfg.Node.Name] = p
 	}
-	s := &Service{Core: c, Shared: shared, cfg: cfg, log: log, addrs: map[string]net.Addr{}}
+	s.router.swap(cfg.Routes, s.pools)
 	defer func() {
 		if err != nil {
 			for _, f := range s.fronts {
@@ -62,46 +84,179 @@
 		}
 		s.addrs[l.Name] = ln.Addr()
 		if l.RESP2 {
-			s.fronts = append(s.fronts, resp2.New(c, resp2.Config{Classes: cfg.Node.Transport.Classes,
-				Plans: cfg.Node.Transport.Plans, Accounts: s.account}, ln, log))
+			// An account can't have two plans or two shares of its ceiling by coming through two fronts.
+			s.fronts = append(s.fronts, resp2.New(s.Env, resp2.Config{Listener: l.Name, Routes: true, Accounts: s.Shared.Account}, ln, log))
 		} else {
-			s.fronts = append(s.fronts, authz.New(shared, l.Authz, ln, tc, log))
+			f := authz.New(s.Shared, l.Authz, ln, tc, log)
+			s.fronts, s.checks = append(s.fronts, f), append(s.checks, f)
 		}
 	}
 	return s, nil
 }
 
-// account tells the RESP2 front what is configured for a customer, so that one account can't have two plans or two
-// shares of its ceiling by coming through two fronts.
-func (s *Service) account(customer string) *account.Account {
-	return s.Shared.Table().ByCustomer(customer)
-}
-
 // Addr is where a listener listens.
 func (s *Service) Addr(listener string) net.Addr { return s.addrs[listener] }
 
+// Done is closed when the service has ended.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+// Ready says whether every pool has known a backend in service.
+func (s *Service) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.pools {
+		if !p.core.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// Pools are the names of the pools, each with the requests that hold it.
+func (s *Service) Pools() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := map[string]int{}
+	for name, p := range s.pools {
+		all[name] = p.core.Busy()
+	}
+	return all
+}
+
 // Serve serves until the context ends, then answers what was taken and returns.
 func (s *Service) Serve(ctx context.Context) {
+	defer close(s.done)
+	s.mu.Lock()
+	for _, p := range s.pools {
+		p.start()
+	}
+	s.mu.Unlock()
+	s.Shared.Begin(s.checks...)
 	for name, a := range s.addrs {
 		s.log.Info("serving", "listener", name, "address", a)
 	}
-	s.Every(figuresEvery, func() { s.log.Info("figures", "checks", &s.Shared.Figures) })
-	s.Run(ctx, s.fronts...)
+	for _, f := range s.fronts {
+		f.Serve()
+	}
+	tick := time.NewTicker(coarseEvery)
+	defer tick.Stop()
+	figures := time.NewTicker(figuresEvery)
+	defer figures.Stop()
+	for serving := true; serving; {
+		select {
+		case <-tick.C:
+			s.coarse.Store(int64(s.Now()))
+		case <-figures.C:
+			s.log.Info("figures", "checks", &s.Shared.Figures, "pools", s.Pools())
+		case <-ctx.Done():
+			serving = false
+		}
+	}
+	s.end(tick)
+}
+
+// end is the shutdown.
+func (s *Service) end(tick *time.Ticker) {
+	s.log.Info("ending")
+	s.mu.Lock()
+	s.ended = true
+	longest := time.Duration(0)
+	for _, p := range s.pools {
+		longest = max(longest, p.core.Longest())
+	}
+	s.mu.Unlock()
+	finish := s.Now() + core.AcceptAfterTerm
+	give := finish + longest + core.AnswerMargin
+	for now := s.Now(); ; now = s.Now() {
+		s.coarse.Store(int64(now))
+		if now >= finish {
+			drained := true
+			for _, f := range s.fronts {
+				f.CloseListeners()
+			}
+			for _, f := range s.fronts {
+				drained = f.Drain() && drained
+			}
+			if drained || now >= give {
+				break
+			}
+		}
+		time.Sleep(drainEvery)
+	}
+	for _, f := range s.checks {
+		f.Close()
+	}
+	unanswered := 0
+	for _, p := range s.pools { // s.ended: nobody changes them any more
+		p.end()
+		unanswered += p.core.Unanswered()
+	}
+	s.leaves.Wait()
+	s.Shared.Close()
 	s.log.Info("figures", "checks", &s.Shared.Figures)
+	s.log.Info("ended", "unanswered", unanswered)
 }
 
-// Reload takes the accounts, rules and the addresses of discovery and the counter of another configuration. All else
-// stays as it is until a restart.
+// Reload takes the pools, routes, accounts and rules of another configuration, whole or not at all. Listeners and what the
+// process has (memory, sockets, verdicts) stay as they are until a restart. A pool whose classes, plans or limits have
+// changed is made anew, and the old one answers what it took.
 func (s *Service) Reload(cfg *Config) error {
-	a, b := s.cfg.Node.Transport, cfg.Node.Transport
-	if fmt.Sprint(a.Classes, a.Plans) != fmt.Sprint(b.Classes, b.Plans) {
-		return errors.New("classes and plans change with a restart only")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return errors.New("the service is ending")
+	}
+	next, fresh := map[string]*pool{}, []*pool{}
+	for i := range cfg.Pools {
+		c := &cfg.Pools[i]
+		p := s.pools[c.Node.Name]
+		if p == nil || p.cfg.text != c.text {
+			var err error
+			if p, err = s.newPool(c, len(cfg.Pools)); err != nil {
+				for _, p := range fresh {
+					s.Shared.Remove(p.core)
+				}
+				return fmt.Errorf("pool %s: %w", c.Node.Name, err)
+			}
+			fresh = append(fresh, p)
+		}
+		next[c.Node.Name] = p
+	}
+	// From here on nothing can fail.
+	for _, p := range fresh {
+		p.start()
+	}
+	for i := range cfg.Pools {
+		c := &cfg.Pools[i]
+		p := next[c.Node.Name]
+		s.Shared.Add(p.core, c.Accounts)
+		p.core.Reload(c.Node.Discovery, c.Node.Counter)
+	}
+	s.Shared.SetIdentities(cfg.Accounts)
+	s.router.swap(cfg.Routes, next)
+	old := s.pools
+	s.pools, s.cfg = next, cfg
+	for name, p := range old {
+		if next[name] != p {
+			s.leaves.Add(1)
+			go s.remove(p)
+		}
 	}
-	s.Shared.SetTable(cfg.Accounts)
-	s.Core.Reload(cfg.Node.Discovery, cfg.Node.Counter)
 	return nil
 }
 
+// remove ends a pool to which no route leads any more, once what it took is answered.
+func (s *Service) remove(p *pool) {
+	defer s.leaves.Done()
+	p.core.Retire()
+	for end := s.Now() + p.core.Longest() + core.AnswerMargin; p.core.Busy() > 0 && s.Now() < end; {
+		time.Sleep(drainEvery)
+	}
+	p.end()
+	s.Shared.Remove(p.core)
+	s.log.Info("pool removed", "pool", p.cfg.Node.Name, "unanswered", p.core.Unanswered())
+}
+
 // load reads the files.
 func (f *TLSFiles) load() (*tls.Config, error) {
 	cert, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -23,24 +23,29 @@
 	unknownMemory = 128 << 20 // bytes taken for the limit where none is told
 )
 
-// NewCore makes the core of a front door with its sides: connections to backends, the counter and the platform's
-// discovery.
-func NewCore(cfg *Config, log *slog.Logger) (*core.Core, error) {
-	l := loop.New()
-	memory := cfg.MemoryMB << 20
+// NewEnv makes what the fronts of a process share, on a loop's clock.
+func NewEnv(l *loop.Loop, memoryMB, sockets int, r core.Router) *core.Env {
+	memory := memoryMB << 20
 	if memory <= 0 {
 		memory = unknownMemory
 	}
-	c, err := core.New(l, core.Config{Settings: cfg.Settings, Seed: cfg.Seed, MostOpen: cfg.Transport.MostOpen,
-		Memory: budget.NewBytes(int64(float64(memory) * memoryShare)),
-		Conns:  budget.NewConns(share(cfg.Sockets, clientShare), l.Now)}, log)
+	return &core.Env{Memory: budget.NewBytes(int64(float64(memory) * memoryShare)),
+		Conns: budget.NewConns(share(sockets, clientShare), l.Now), Now: l.Now, Coarse: l.Coarse, Router: r}
+}
+
+// NewCore makes the core of a front door, or of one pool of it, with its sides: connections to backends, the counter and
+// the platform's discovery. The part is that of the connections to backends which it may have; the space keeps its
+// numbers on the counter apart from those of other pools.
+func NewCore(l *loop.Loop, cfg *Config, part float64, space string, log *slog.Logger) (*core.Core, error) {
+	c, err := core.New(l, core.Config{Name: cfg.Name, Classes: cfg.Transport.Classes, Plans: cfg.Transport.Plans,
+		Settings: cfg.Settings, Seed: cfg.Seed, MostOpen: cfg.Transport.MostOpen}, log)
 	if err != nil {
 		return nil, err
 	}
 	c.Connect(
-		upstream.New(l, upstream.Config{Most: share(cfg.Sockets, backendShare), DialTimeout: cfg.Transport.DialTimeout,
+		upstream.New(l, upstream.Config{Most: max(1, share(cfg.Sockets, backendShare*part)), DialTimeout: cfg.Transport.DialTimeout,
 			Idle: cfg.Transport.ConnIdle}, c.Probed),
-		counter.New(l, counter.Config{Addr: cfg.Counter, Enabled: cfg.Settings.Counter,
+		counter.New(l, counter.Config{Addr: cfg.Counter, Space: space, Enabled: cfg.Settings.Counter,
 			Timeout: cfg.Settings.CounterTimeout, DialTimeout: cfg.Transport.DialTimeout}, c.Counted),
 		discovery.New(l, log, discovery.Config{Addr: cfg.Discovery, Known: cfg.Known, Zones: cfg.Transport.Zones,
 			Kinds: cfg.Transport.Kinds}, c.Listed))
@@ -58,21 +63,23 @@
 // Platform is the lean front door that the platform runs: one core, one RESP2 listener.
 type Platform struct {
 	*core.Core
+	env *core.Env
 	cfg *Config
 	log *slog.Logger
 }
 
 // NewPlatform makes one. It takes no connection before Serve.
 func NewPlatform(cfg *Config, log *slog.Logger) (*Platform, error) {
-	c, err := NewCore(cfg, log)
+	l := loop.New()
+	c, err := NewCore(l, cfg, 1, "", log)
 	if err != nil {
 		return nil, err
 	}
-	return &Platform{c, cfg, log}, nil
+	return &Platform{c, NewEnv(l, cfg.MemoryMB, cfg.Sockets, c), cfg, log}, nil
 }
 
 // Serve serves what connects to the listener until the context ends, then answers what was taken and returns.
 func (p *Platform) Serve(ctx context.Context, ln net.Listener) {
 	p.log.Info("serving", "listen", ln.Addr(), "backends", len(p.cfg.Known.Endpoints))
-	p.Run(ctx, resp2.New(p.Core, resp2.Config{Classes: p.cfg.Transport.Classes, Plans: p.cfg.Transport.Plans}, ln, p.log))
+	p.Run(ctx, resp2.New(p.env, resp2.Config{}, ln, p.log))
 }
