--- a/internal/front/authz/check.go
+++ b/internal/front/authz/check.go
@@ -217,8 +217,9 @@
 		a.unauthenticated()
 		return
 	}
-	c := fr.env.Router.Route(&route.Query{Listener: fr.cfg.Name, Host: host, Path: path, Method: tg.method, Account: acct.Customer,
-		Header: header(r.Header)})
+	k := &check{done: make(chan outcome, 1)}
+	k.query = route.Query{Listener: fr.cfg.Name, Host: host, Path: path, Method: tg.method, Account: acct.Customer, Header: r.Header}
+	c := fr.env.Router.Route(&k.query)
 	p := s.of(c)
 	if p == nil {
 		if c != nil {
@@ -228,33 +229,23 @@
 		a.problem(http.StatusForbidden, "no-route", "No service stands behind this.")
 		return
 	}
-	if !fr.checkIn(p, a, rt, r, tg, host, path, acct.Customer) {
+	if !fr.checkIn(p, a, k, r, tg) {
 		p.core.Release()
 	}
 }
 
-// header is how a route reads header fields, whose names it has in canonical form.
-func header(h http.Header) func(string) (string, bool) {
-	return func(name string) (string, bool) {
-		v := h[name]
-		if len(v) != 1 {
-			return "", false
-		}
-		return v[0], true
-	}
-}
-
 // checkIn answers a check that has come to its pool. false: the pool was not asked, and is to be released.
-func (fr *Front) checkIn(p *pool, a answer, rt *Route, r *http.Request, tg target, host, path, customer string) (asked bool) {
+func (fr *Front) checkIn(p *pool, a answer, c *check, r *http.Request, tg target) (asked bool) {
+	rt := a.rt
 	s, table, err := fr.s, p.table.Load(), error(nil)
-	acct := table.ByCustomer(customer)
+	acct := table.ByCustomer(c.query.Account)
 	if acct == nil {
 		s.Figures.Forbidden.Add(1)
 		a.problem(http.StatusForbidden, "not-entitled", "The account has no plan here.")
 		return false
 	}
 	a.acct, a.plans = acct, p.core.Settings.Plans
-	class, units, ok := table.Match(host, tg.method, path)
+	class, units, ok := table.Match(c.query.Host, tg.method, c.query.Path)
 	if !ok && rt.DefaultClass != "" {
 		class, units = slices.Index(p.core.Classes, rt.DefaultClass), 1
 		ok = class >= 0
@@ -277,7 +268,7 @@
 			return false
 		}
 	}
-	c := &check{p: p, done: make(chan outcome, 1)}
+	c.p = p
 	c.Request = core.Request{Caller: c, Class: class, Plan: acct.Plan, Customer: acct.Customer, At: fr.env.Now(),
 		Wait: rt.within(r.Header), Units: units, Doors: acct.Doors, Grant: true}
 	if a.plans[acct.Plan].AtOnce > 0 {
--- a/internal/front/authz/shared.go
+++ b/internal/front/authz/shared.go
@@ -14,6 +14,7 @@
 
 	"snowhall/internal/account"
 	"snowhall/internal/core"
+	"snowhall/internal/route"
 	"snowhall/internal/verdict"
 )
 
@@ -160,6 +161,9 @@
 	s.pools.Store(&next)
 }
 
+// Len is how many pools are known.
+func (s *Shared) Len() int { return len(*s.pools.Load()) }
+
 // of finds what is kept of a pool.
 func (s *Shared) of(c *core.Core) *pool { return (*s.pools.Load())[c] }
 
@@ -181,7 +185,8 @@
 type check struct {
 	core.Request
 	p     *pool
-	watch bool // a repeat of it can be told
+	query route.Query // by which its pool was found
+	watch bool        // a repeat of it can be told
 	key   verdict.Key
 	entry verdict.Entry // where remembered
 	kept  bool          // it is remembered
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -67,8 +67,8 @@
 // both so); a protocol that has none leaves it empty.
 type Query struct {
 	Listener, Host, Path, Method, Class, Account string
-	Header                                       func(name string) (string, bool) // nil: there are none; the name is as the rule has it
-	Stick                                        string                           // keeps a request with others at a target, where there is no account
+	Header                                       map[string][]string // fields by their names as rules have them; one that stands twice fits no value
+	Stick                                        string              // keeps a request with others at a target, where there is no account
 }
 
 // Error is a fault of one rule.
@@ -460,11 +460,9 @@
 	if q.Account != "" && b.byAccount != nil {
 		best = first(b.byAccount[q.Account], best, q)
 	}
-	if q.Header != nil {
-		for i := range b.byHeader {
-			if v, ok := q.Header(b.byHeader[i].name); ok {
-				best = first(b.byHeader[i].values[v], best, q)
-			}
+	for i := range b.byHeader {
+		if v := q.Header[b.byHeader[i].name]; len(v) == 1 {
+			best = first(b.byHeader[i].values[v[0]], best, q)
 		}
 	}
 	return best
@@ -497,10 +495,7 @@
 		return "method"
 	}
 	for _, h := range r.Headers {
-		if q.Header == nil {
-			return "headers"
-		}
-		if v, ok := q.Header(h.Name); !ok || h.Value != "" && v != h.Value {
+		if v := q.Header[h.Name]; len(v) != 1 || h.Value != "" && v[0] != h.Value {
 			return "headers"
 		}
 	}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -26,7 +26,7 @@
 // The order of precedence, one step at a time: of each pair the first goes before the second, however they stand.
 func TestPoolsRoutePrecedence(t *testing.T) {
 	q := Query{Listener: "http", Host: "a.b.example.org", Path: "/v1/flags/7", Method: "GET", Class: "evaluate", Account: "acme",
-		Header: func(n string) (string, bool) { return "1", n == "X-A" || n == "X-B" }}
+		Header: map[string][]string{"X-A": {"1"}, "X-B": {"1"}}}
 	order := []Rule{
 		{Host: "a.b.example.org"}, {Host: "*.b.example.org"}, {Host: "*.example.org"},
 		{Kind: Exact, Path: "/v1/flags/7"}, {Kind: Template, Path: "/v1/flags/{id}"}, {Kind: Template, Path: "/v1/{kind}/7"},
@@ -197,7 +197,7 @@
 			return false
 		}
 		for _, h := range r.Headers {
-			if v, ok := q.Header(h.Name); !ok || h.Value != "" && h.Value != v {
+			if v := q.Header[h.Name]; len(v) == 0 || h.Value != "" && h.Value != v[0] {
 				return false
 			}
 		}
@@ -244,17 +244,17 @@
 			t.Fatal(err)
 		}
 		for range 20 {
-			headers := map[string]string{}
+			headers := map[string][]string{}
 			for _, h := range []string{"A", "B"} {
 				if rapid.Bool().Draw(t, "has") {
-					headers[h] = rapid.SampledFrom(some).Draw(t, "value")
+					headers[h] = []string{rapid.SampledFrom(some).Draw(t, "value")}
 				}
 			}
 			q := Query{Host: rapid.SampledFrom([]string{"", "a.org", "b.a.org", "c.b.a.org", "d.org", "org"}).Draw(t, "host"),
 				Path:   rapid.SampledFrom([]string{"", "/", "/x", "/x/y", "/x/y/z", "/x/q", "/x/", "/y/y/y", "/y"}).Draw(t, "path"),
 				Method: rapid.SampledFrom([]string{"GET", "PUT"}).Draw(t, "method"), Listener: rapid.SampledFrom(some).Draw(t, "listener"),
 				Account: rapid.SampledFrom(some).Draw(t, "account"), Class: rapid.SampledFrom(some).Draw(t, "class"),
-				Header: func(n string) (string, bool) { v, ok := headers[n]; return v, ok }}
+				Header: headers}
 			want := naive(rules, &q)
 			if m := tb.Match(&q); m.Rule != want {
 				t.Fatalf("%+v: %q, want %q of %+v", q, m.Rule, want, rules)
@@ -318,7 +318,7 @@
 		k := (i*n/50/5*5 + i%5) % n
 		tenant := fmt.Sprint(k / 5 * 5)
 		qs = append(qs, Query{Host: "flags.example.org", Path: fmt.Sprintf("/v1/s%d/deep/er", k), Account: fmt.Sprint("account", k), Method: "GET",
-			Header: func(name string) (string, bool) { return tenant, name == "X-Tenant" }},
+			Header: map[string][]string{"X-Tenant": {tenant}}},
 			Query{Host: fmt.Sprintf("h%d.example.org", k), Path: fmt.Sprintf("/t%d/7/x", k), Method: "GET"})
 	}
 	return qs
--- a/internal/service/hosted/world_test.go
+++ b/internal/service/hosted/world_test.go
@@ -203,7 +203,16 @@
 
 func (w *world) door(doors, rank int, edits ...string) *door {
 	w.t.Helper()
-	cfg, err := Parse("test.toml", []byte(w.text(doors, rank, edits...)))
+	return w.run(w.text(doors, rank, edits...))
+}
+
+// sha is what a configuration has for a key.
+func sha(key string) [32]byte { return sha256.Sum256([]byte(key)) }
+
+// run runs a service by the text of its configuration.
+func (w *world) run(text string) *door {
+	w.t.Helper()
+	cfg, err := Parse("test.toml", []byte(text))
 	if err != nil {
 		w.t.Fatal(err)
 	}
