Pools: a server in two pools bears one cold budget, one drain, one start

A server is known by its address, whatever each pool calls it. internal/fleet decides, free of I/O, what pools are told: a drain or removal told to one stops all, the newest start holds for all, and each has an even part of what a cold server bears, which the module takes as Backend.Share.

--- a/api.go
+++ b/api.go
@@ -114,6 +114,7 @@
 	State   State
 	Weight  float64       // to compare with other backends'; 0 counts as 1
 	Started time.Duration // when it last started, on the caller's clock; 0: long ago
+	Share   float64       // part of what it bears while cold that is this door's own; 0 counts as 1
 }
 
 // Scope says what a List holds.
--- a/door.go
+++ b/door.go
@@ -624,7 +624,7 @@
 		return false
 	}
 	span := d.set.FallWindow.Seconds()
-	budget := coldMargin * d.set.FallMultiple * w * d.rate * s.weight * span
+	budget := coldMargin * d.set.FallMultiple * w * d.rate * s.weight * s.share * span
 	if budget < 1 {
 		span = min(span/budget, d.set.WarmWithin.Seconds())
 		budget = 1
@@ -995,7 +995,7 @@
 			s.cold, s.coldAt, s.slots = true, b.Started, 1
 		}
 	}
-	s.zone, s.cell, s.weight = b.Zone, b.Cell, cmp.Or(max(0, b.Weight), 1)
+	s.zone, s.cell, s.weight, s.share = b.Zone, b.Cell, cmp.Or(max(0, b.Weight), 1), cmp.Or(max(0, b.Share), 1)
 	s.listed = s.listed || b.State == InService
 	if b.State != InService {
 		d.retire(s)
--- a/grant_test.go
+++ b/grant_test.go
@@ -270,3 +270,40 @@
 		}
 	}
 }
+
+// A door that shares a cold backend with others sends it its own part of the budget only.
+func TestColdBudgetIsShared(t *testing.T) {
+	sent := map[float64]int{}
+	for _, share := range []float64{0, 0.5, 0.25} {
+		set := basic()
+		set.Counter, set.Doors = false, 1
+		list := backends(4)
+		d := open(t, set, list[:3]...)
+		id, cold := uint64(0), 0
+		for tick := range 4000 { // 20 s at 100 a second; from the tenth on the fourth is there, cold
+			now := time.Duration(tick) * 5 * ms
+			evs := []Event{Timer{0}}
+			if tick == 2000 {
+				list[3].Started, list[3].Share = now, share
+				for i := range list[:3] { // the worst case: it is all that is left
+					list[i].State = Terminating
+				}
+				evs = append(evs, List{Scope: Delta, Entries: list})
+			}
+			if tick%2 == 0 {
+				id++
+				evs = append(evs, ask(id, 0, 2))
+			}
+			for _, s := range only[Send](d.Step(now, evs)) {
+				if s.Backend == list[3].Name && now < 10*time.Second+set.FallWindow {
+					cold++
+				}
+				d.Step(now, []Event{served(s, 0, 20*ms)})
+			}
+		}
+		sent[share] = cold
+	}
+	if sent[0] < 20 || float64(sent[0.5]) > 0.6*float64(sent[0]) || float64(sent[0.25]) > 0.35*float64(sent[0]) || sent[0.25] == 0 {
+		t.Errorf("sent to a cold backend within one window, by share: %v", sent)
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,209 @@
+// Package fleet decides what pools are told of servers that stand in several of them. A server is known by its address,
+// whatever each pool calls it. What it bears is one thing:
+//
+//   - A drain told to one pool is told to all. A removal, or a move to another address, stops it in all; another pool
+//     takes it up again only when its own source tells of it in service after that.
+//   - The newest start that any source tells of holds for all: a server that is cold for one is cold for all.
+//   - Each entry that has it in service gets an even part of what a cold one bears, so the budget holds over the sum.
+//
+// It does no input or output, and nothing but what pools are told hangs on it. One goroutine at a time may use a Fleet.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"snowhall"
+	"snowhall/internal/membership"
+)
+
+// Out is what one pool is to be told: changes, never a whole list.
+type Out struct {
+	Pool   string
+	Update membership.Update
+}
+
+// Fleet holds what each pool's source has told.
+type Fleet struct {
+	pools map[string]map[string]*entry   // by pool and the pool's name for a server
+	at    map[string]map[*entry]struct{} // by address
+	dirty map[string]struct{}            // addresses to look at
+	gone  []Out                          // entries that their pool no longer has
+	sent  map[*entry]membership.Entry    // as the pool was told last
+}
+
+type entry struct {
+	pool    string
+	told    membership.Entry
+	stopped bool // another pool was told of a removal, and this one's source has not spoken since
+}
+
+// New makes a fleet of nothing.
+func New() *Fleet {
+	return &Fleet{pools: map[string]map[string]*entry{}, at: map[string]map[*entry]struct{}{}, dirty: map[string]struct{}{},
+		sent: map[*entry]membership.Entry{}}
+}
+
+// Tell takes what a pool's source says and returns what pools are to be told, that pool among them.
+func (f *Fleet) Tell(pool string, u membership.Update) []Out {
+	if u.Scope == snowhall.ListFailed {
+		return []Out{{pool, u}}
+	}
+	p := f.pools[pool]
+	if p == nil {
+		p = map[string]*entry{}
+		f.pools[pool] = p
+	}
+	named := map[string]bool{}
+	for _, e := range u.Entries {
+		named[e.Name] = true
+		f.take(pool, p, e)
+	}
+	if u.Scope != snowhall.Delta {
+		for _, name := range sorted(p) {
+			if e := p[name]; !named[name] {
+				f.remove(p, e, u.Scope == snowhall.Whole) // what is missing from an old list says nothing
+			}
+		}
+	}
+	return f.settle()
+}
+
+// Drop forgets a pool. That is no word on its servers: the others have their parts again.
+func (f *Fleet) Drop(pool string) []Out {
+	p := f.pools[pool]
+	for _, name := range sorted(p) {
+		f.remove(p, p[name], false)
+	}
+	delete(f.pools, pool)
+	f.gone = nil // nobody is there to be told
+	return f.settle()
+}
+
+func sorted(p map[string]*entry) []string {
+	names := make([]string, 0, len(p))
+	for n := range p {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// take takes one entry of a pool.
+func (f *Fleet) take(pool string, p map[string]*entry, told membership.Entry) {
+	e := p[told.Name]
+	if told.State == snowhall.Terminated {
+		if e != nil {
+			f.remove(p, e, true)
+		}
+		return
+	}
+	if e != nil && e.told.Addr != told.Addr { // another process; the old one is gone
+		f.stop(e)
+		f.unlink(e)
+	}
+	if e == nil {
+		e = &entry{pool: pool}
+		p[told.Name] = e
+	}
+	e.told = told
+	if told.State == snowhall.InService {
+		e.stopped = false
+	}
+	if f.at[told.Addr] == nil {
+		f.at[told.Addr] = map[*entry]struct{}{}
+	}
+	f.at[told.Addr][e] = struct{}{}
+	f.dirty[told.Addr] = struct{}{}
+}
+
+// remove takes an entry out of its pool, and stops the server in the others where that is word of its end.
+func (f *Fleet) remove(p map[string]*entry, e *entry, ends bool) {
+	if ends {
+		f.stop(e)
+	}
+	f.unlink(e)
+	delete(p, e.told.Name)
+	last := e.told
+	last.State = snowhall.Terminated
+	delete(f.sent, e)
+	f.gone = append(f.gone, Out{e.pool, membership.Update{Entries: []membership.Entry{last}}})
+}
+
+// stop stops the server of an entry in all other pools.
+func (f *Fleet) stop(e *entry) {
+	for o := range f.at[e.told.Addr] {
+		if o.pool != e.pool {
+			o.stopped = true
+		}
+	}
+}
+
+func (f *Fleet) unlink(e *entry) {
+	delete(f.at[e.told.Addr], e)
+	if len(f.at[e.told.Addr]) == 0 {
+		delete(f.at, e.told.Addr)
+	}
+	f.dirty[e.told.Addr] = struct{}{}
+}
+
+// settle looks at the servers of which something has changed, and says who is to be told what.
+func (f *Fleet) settle() []Out {
+	changes := map[string][]membership.Entry{}
+	for _, o := range f.gone {
+		changes[o.Pool] = append(changes[o.Pool], o.Update.Entries...)
+	}
+	f.gone = nil
+	for addr := range f.dirty {
+		for e, now := range f.effective(addr) {
+			if f.sent[e] != now {
+				f.sent[e] = now
+				changes[e.pool] = append(changes[e.pool], now)
+			}
+		}
+	}
+	clear(f.dirty)
+	var outs []Out
+	for pool, list := range changes {
+		// Ends first, so that a name that has a new address is not ended after it; then by name, for the same order always.
+		slices.SortStableFunc(list, func(a, b membership.Entry) int {
+			return cmp.Or(cmp.Compare(ended(b), ended(a)), cmp.Compare(a.Name, b.Name))
+		})
+		outs = append(outs, Out{pool, membership.Update{Scope: snowhall.Delta, Entries: list}})
+	}
+	slices.SortFunc(outs, func(a, b Out) int { return cmp.Compare(a.Pool, b.Pool) })
+	return outs
+}
+
+func ended(e membership.Entry) int {
+	if e.State == snowhall.Terminated {
+		return 1
+	}
+	return 0
+}
+
+// effective is what the pools of one server are to know of it.
+func (f *Fleet) effective(addr string) map[*entry]membership.Entry {
+	all := f.at[addr]
+	drains := false
+	use := 0 // entries that have it in service: a pool may have a server under two names
+	var started = snowhall.Backend{}.Started
+	for e := range all {
+		drains = drains || e.told.State != snowhall.InService
+		started = max(started, e.told.Started)
+		if e.told.State == snowhall.InService && !e.stopped {
+			use++
+		}
+	}
+	now := map[*entry]membership.Entry{}
+	for e := range all {
+		n := e.told
+		n.Started = started
+		n.Share = 1 / float64(max(1, use))
+		if drains || e.stopped {
+			n.State = snowhall.Terminating
+		}
+		now[e] = n
+	}
+	return now
+}
--- a/internal/service/hosted/hosted.go
+++ b/internal/service/hosted/hosted.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"snowhall/internal/core"
+	"snowhall/internal/fleet"
 	"snowhall/internal/front/authz"
 	"snowhall/internal/front/resp2"
 	"snowhall/internal/loop"
@@ -29,15 +30,16 @@
 // Service is a gapgapd that listens.
 type Service struct {
 	*core.Env
-	Shared *authz.Shared
-	log    *slog.Logger
-	clock  *loop.Loop // whose time all loops share
-	coarse atomic.Int64
-	fronts []core.Front
-	checks []*authz.Front
-	addrs  map[string]net.Addr
-	done   chan struct{}
-	router router
+	Shared  *authz.Shared
+	log     *slog.Logger
+	clock   *loop.Loop // whose time all loops share
+	coarse  atomic.Int64
+	fronts  []core.Front
+	checks  []*authz.Front
+	addrs   map[string]net.Addr
+	done    chan struct{}
+	router  router
+	members members
 
 	mu     sync.Mutex // held to change pools
 	cfg    *Config
@@ -48,7 +50,8 @@
 
 // New makes the service and opens its listeners; it takes no connection before Serve.
 func New(cfg *Config, log *slog.Logger) (_ *Service, err error) {
-	s := &Service{log: log, clock: loop.New(), addrs: map[string]net.Addr{}, done: make(chan struct{}), cfg: cfg, pools: map[string]*pool{}}
+	s := &Service{log: log, clock: loop.New(), addrs: map[string]net.Addr{}, done: make(chan struct{}), cfg: cfg, pools: map[string]*pool{},
+		members: members{fleet: fleet.New(), boxes: map[string]*box{}}}
 	s.Env = service.NewEnv(s.clock, cfg.Node.MemoryMB, cfg.Node.Sockets, &s.router)
 	s.coarse.Store(int64(s.clock.Now()))
 	s.Env.Coarse = func() time.Duration { return time.Duration(s.coarse.Load()) }
@@ -214,6 +217,7 @@
 			var err error
 			if p, err = s.newPool(c, len(cfg.Pools)); err != nil {
 				for _, p := range fresh {
+					p.box.drop()
 					s.Shared.Remove(p.core)
 				}
 				return fmt.Errorf("pool %s: %w", c.Node.Name, err)
@@ -253,6 +257,7 @@
 		time.Sleep(drainEvery)
 	}
 	p.end()
+	p.box.drop()
 	s.Shared.Remove(p.core)
 	s.log.Info("pool removed", "pool", p.cfg.Node.Name, "unanswered", p.core.Unanswered())
 }
--- a/internal/service/hosted/pool.go
+++ b/internal/service/hosted/pool.go
@@ -1,10 +1,14 @@
 package hosted
 
 import (
+	"fmt"
+	"sync"
 	"sync/atomic"
 
 	"snowhall/internal/core"
+	"snowhall/internal/fleet"
 	"snowhall/internal/loop"
+	"snowhall/internal/membership"
 	"snowhall/internal/route"
 	"snowhall/internal/service"
 )
@@ -13,6 +17,7 @@
 type pool struct {
 	cfg     *Pool
 	core    *core.Core
+	box     *box
 	started bool
 	stop    chan struct{}
 	ended   chan struct{}
@@ -20,12 +25,83 @@
 
 // newPool makes one of so many pools, which share the sockets for backends. It does nothing before start.
 func (s *Service) newPool(cfg *Pool, of int) (*pool, error) {
-	c, err := service.NewCore(loop.NewAt(s.clock.Begun()), cfg.Node, 1/float64(of), cfg.Space, s.log.With("pool", cfg.Node.Name))
+	p := &pool{cfg: cfg, stop: make(chan struct{}), ended: make(chan struct{})}
+	c, err := service.NewCore(loop.NewAt(s.clock.Begun()), cfg.Node, 1/float64(of), cfg.Space, func(c *core.Core) func(membership.Update) {
+		p.box = s.members.add(c)
+		return p.box.tell
+	}, s.log.With("pool", cfg.Node.Name))
 	if err != nil {
 		return nil, err
 	}
+	p.core = c
 	s.Shared.Add(c, cfg.Accounts)
-	return &pool{cfg: cfg, core: c, stop: make(chan struct{}), ended: make(chan struct{})}, nil
+	return p, nil
+}
+
+// members brings what each pool's source tells of servers to all pools that have them.
+type members struct {
+	mu    sync.Mutex
+	fleet *fleet.Fleet
+	boxes map[string]*box
+	last  int
+}
+
+// box holds what a pool is still to be told. Its loop takes it out, so that updates keep their order and no loop ever
+// waits for another.
+type box struct {
+	m       *members
+	key     string // one pool may be replaced by another of its name: each has its own
+	core    *core.Core
+	pending []membership.Update
+}
+
+func (m *members) add(c *core.Core) *box {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.last++
+	b := &box{m: m, key: fmt.Sprint(c.Name, "#", m.last), core: c}
+	m.boxes[b.key] = b
+	return b
+}
+
+// tell takes what the pool's source says. Only the pool's loop goroutine may call it.
+func (b *box) tell(u membership.Update) {
+	b.m.mu.Lock()
+	b.m.deliver(b.m.fleet.Tell(b.key, u), b)
+	b.m.mu.Unlock()
+	b.drain()
+}
+
+// drop forgets the pool, whose loop has ended.
+func (b *box) drop() {
+	b.m.mu.Lock()
+	defer b.m.mu.Unlock()
+	delete(b.m.boxes, b.key)
+	b.m.deliver(b.m.fleet.Drop(b.key), nil)
+}
+
+// deliver puts what is to be told into the boxes, and wakes the loops but for one. The caller holds mu.
+func (m *members) deliver(outs []fleet.Out, but *box) {
+	for _, o := range outs {
+		b := m.boxes[o.Pool]
+		if b == nil {
+			continue
+		}
+		if b.pending = append(b.pending, o.Update); b != but {
+			go b.core.Post(b.drain) // it may wait for a place in the queue; a loop must not
+		}
+	}
+}
+
+// drain tells the core what is there. Only the pool's loop goroutine may call it.
+func (b *box) drain() {
+	b.m.mu.Lock()
+	all := b.pending
+	b.pending = nil
+	b.m.mu.Unlock()
+	for _, u := range all {
+		b.core.Listed(u)
+	}
 }
 
 func (p *pool) start() {
--- a/internal/service/hosted/pools_test.go
+++ b/internal/service/hosted/pools_test.go
@@ -403,3 +403,71 @@
 		})
 	}
 }
+
+// A server that stands in two pools, under two names: a drain or a removal told to one pool stops both within the 250 ms,
+// also if the other pool's source goes on listing it; told in service again by its own source, a pool takes it up.
+func TestPoolsSharedServerDrains(t *testing.T) {
+	w := startPools(t, "a", to("b", "b", `host = "b.org"`), "a", "b")
+	shared, err := flagserver.Start(flagserver.Config{Value: "shared", Keep: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(shared.Close)
+	own := func(pool string) catalog.Endpoint { return catalog.Serving("s-"+pool, w.servers[pool].Addr()) }
+	at := func(name, status string) catalog.Endpoint {
+		e := catalog.Serving(name, shared.Addr())
+		e.Status = status
+		return e
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			p := peer.Dial(t, w.d.resp)
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				w.resp(p, fmt.Sprint(i, "-", n), []string{"", ",host=b.org"}[i%2])
+			}
+		})
+	}
+	// sends counts what comes to the shared server while something is looked at, a grace after it is told.
+	sends := func(grace, while time.Duration) int {
+		time.Sleep(grace)
+		before := len(shared.Sent())
+		time.Sleep(while)
+		return len(shared.Sent()) - before
+	}
+	both := func() {
+		t.Helper()
+		for end := time.Now().Add(peer.Patient); sends(0, 100*time.Millisecond) == 0; {
+			if time.Now().After(end) {
+				t.Fatal("the server is never used")
+			}
+		}
+	}
+	w.agents["a"].Set(own("a"), at("x", "SERVING"))
+	w.agents["b"].Set(own("b"), at("y", "SERVING"))
+	both()
+	w.agents["a"].Set(own("a"), at("x", "DRAINING"))
+	if n := sends(250*time.Millisecond, 300*time.Millisecond); n > 0 {
+		t.Errorf("%d sends after a drain told to one pool", n)
+	}
+	w.agents["b"].Set(own("b"), at("y", "SERVING")) // it goes on listing it
+	if n := sends(250*time.Millisecond, 200*time.Millisecond); n > 0 {
+		t.Errorf("%d sends to a server that drains for another pool", n)
+	}
+	w.agents["a"].Set(own("a"), at("x", "SERVING"))
+	both()
+	w.agents["a"].Set(own("a")) // removed from one
+	if n := sends(250*time.Millisecond, 300*time.Millisecond); n > 0 {
+		t.Errorf("%d sends after a removal told to one pool", n)
+	}
+	w.agents["b"].Set(own("b"), at("y", "SERVING"))
+	both() // its own source insists
+	close(stop)
+	wg.Wait()
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -11,6 +11,7 @@
 	"snowhall/internal/counter"
 	"snowhall/internal/front/resp2"
 	"snowhall/internal/loop"
+	"snowhall/internal/membership"
 	"snowhall/internal/membership/discovery"
 	"snowhall/internal/upstream"
 )
@@ -35,20 +36,25 @@
 
 // NewCore makes the core of a front door, or of one pool of it, with its sides: connections to backends, the counter and
 // the platform's discovery. The part is that of the connections to backends which it may have; the space keeps its
-// numbers on the counter apart from those of other pools.
-func NewCore(l *loop.Loop, cfg *Config, part float64, space string, log *slog.Logger) (*core.Core, error) {
+// numbers on the counter apart from those of other pools. What discovery tells goes by way of the function that is made for
+// the core; nil: to the core itself.
+func NewCore(l *loop.Loop, cfg *Config, part float64, space string, tell func(*core.Core) func(membership.Update), log *slog.Logger) (*core.Core, error) {
 	c, err := core.New(l, core.Config{Name: cfg.Name, Classes: cfg.Transport.Classes, Plans: cfg.Transport.Plans,
 		Settings: cfg.Settings, Seed: cfg.Seed, MostOpen: cfg.Transport.MostOpen}, log)
 	if err != nil {
 		return nil, err
 	}
+	told := c.Listed
+	if tell != nil {
+		told = tell(c)
+	}
 	c.Connect(
 		upstream.New(l, upstream.Config{Most: max(1, share(cfg.Sockets, backendShare*part)), DialTimeout: cfg.Transport.DialTimeout,
 			Idle: cfg.Transport.ConnIdle}, c.Probed),
 		counter.New(l, counter.Config{Addr: cfg.Counter, Space: space, Enabled: cfg.Settings.Counter,
 			Timeout: cfg.Settings.CounterTimeout, DialTimeout: cfg.Transport.DialTimeout}, c.Counted),
 		discovery.New(l, log, discovery.Config{Addr: cfg.Discovery, Known: cfg.Known, Zones: cfg.Transport.Zones,
-			Kinds: cfg.Transport.Kinds}, c.Listed))
+			Kinds: cfg.Transport.Kinds}, told))
 	return c, nil
 }
 
@@ -71,7 +77,7 @@
 // NewPlatform makes one. It takes no connection before Serve.
 func NewPlatform(cfg *Config, log *slog.Logger) (*Platform, error) {
 	l := loop.New()
-	c, err := NewCore(l, cfg, 1, "", log)
+	c, err := NewCore(l, cfg, 1, "", nil, log)
 	if err != nil {
 		return nil, err
 	}
--- a/state.go
+++ b/state.go
@@ -16,7 +16,8 @@
 	name                string
 	zone, cell          int
 	weight, slots, slow float64
-	listed              bool // in service, by the list
+	share               float64 // of what it bears while cold
+	listed              bool    // in service, by the list
 	started, coldAt     time.Duration
 	cold, ejected       bool
 	coldTurn            time.Duration // no send while cold before this, where the share is under one
