--- a/internal/service/hosted/config_test.go
+++ b/internal/service/hosted/config_test.go
@@ -44,6 +44,51 @@
 	}
 }
 
+func TestPoolsExampleIsGood(t *testing.T) {
+	b, err := os.ReadFile("../../../deploy/gapgapd-pools.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(b)
+	c, err := Parse("x", b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(c.Pools) != 2 || c.Routes.Len() != 2 || !c.Gated || c.Pools[0].Space != "" || c.Pools[1].Space != "audit" || c.Pools[0].Weight != 2 {
+		t.Errorf("%+v", c.Pools)
+	}
+	for _, bad := range []struct{ old, new, key string }{
+		{`default_pool = "flags"`, `default_pool = "flag"`, "node.default_pool"},
+		{`memory_mb = 512`, `discovery = "127.0.0.1:1"`, "node.discovery"},
+		{`name = "audit"`, `name = "flags"`, "pool[1].name"},
+		{`discovery = "127.0.0.1:8501"`, `discovery = "x"`, "pool[1].discovery"},
+		{`weight = 2.0`, `weight = 0.0`, "pool[0].weight"},
+		{`aim = "2s"`, `aim = "20s"`, "pool[1].class[0].aim"},
+		{`burst = 10.0`, `burst = -1.0`, "pool[1].plan[0].burst"},
+		{`class = "record"`, `class = "other"`, "pool[1].rule[0].class"},
+		{`plan = "business"`, `plan = "gold"`, "account[0].plan"},
+		{`to = [{ pool = "audit" }]`, `to = [{ pool = "odd" }]`, "route[0].to"},
+		{`host = "audit.example.org"`, `host = "a:1"`, "route[0].host"},
+		{`name = "canary"`, `name = "audit"`, "route[1].name"},
+		{`host = "*.flags.example.org"`, `account = "nobody"`, "route[1].account"},
+		{`host = "*.flags.example.org"`, `listener = "nowhere"`, "route[1].listener"},
+		{`host = "*.flags.example.org"`, `kind = "odd"`, "route[1].kind"},
+	} {
+		at := strings.LastIndex(good, bad.old)
+		if bad.key == "pool[1].name" {
+			at = strings.Index(good, bad.old)
+		}
+		if at < 0 {
+			t.Fatalf("the example has no %q", bad.old)
+		}
+		_, err := Parse("x", []byte(good[:at]+bad.new+good[at+len(bad.old):]))
+		var e *Error
+		if !errors.As(err, &e) || e.Key != bad.key || e.Line == 0 {
+			t.Errorf("%s: %v", bad.key, err)
+		}
+	}
+}
+
 // Whatever is wrong is said with file, line and key, and nothing starts.
 func TestForwardAuthBadConfiguration(t *testing.T) {
 	good := example(t)
