--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -22,7 +22,7 @@
 		Keys: []string{hash("k3")}, Classes: []string{"evaluate"}}}
 }
 
-func TestLookUps(t *testing.T) {
+func TestForwardAuthLookUps(t *testing.T) {
 	table, err := Compile(good(), nil, names, 4)
 	if err != nil {
 		t.Fatal(err)
@@ -49,7 +49,7 @@
 }
 
 // A fault names its field.
-func TestFaults(t *testing.T) {
+func TestForwardAuthFaults(t *testing.T) {
 	for field, spoil := range map[string]func(s []Spec, r *Rule){
 		"account[1].name":            func(s []Spec, r *Rule) { s[1].Name = "acme" },
 		"account[0].name":            func(s []Spec, r *Rule) { s[0].Name = "a b" },
@@ -79,7 +79,7 @@
 	}
 }
 
-func TestMatch(t *testing.T) {
+func TestForwardAuthMatch(t *testing.T) {
 	table, err := Compile(nil, []Rule{
 		{Host: "flags.example.org", Methods: []string{"POST", "PUT"}, Path: "/v1/", Class: "change", Units: 2},
 		{Host: "*.example.org", Path: "/v1", Class: "evaluate"},
@@ -122,7 +122,7 @@
 }
 
 // However a URI is written, the form that rules see is clean, and cleaning it once more changes nothing but escapes.
-func FuzzTarget(f *testing.F) {
+func FuzzForwardAuthTarget(f *testing.F) {
 	for _, s := range []string{"/a/../b", "/%2e%2e//x?q", "/a%2Fb", "*", "/%25%32%65", "/a/./"} {
 		f.Add("Flags.example.org:80", s)
 	}
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -26,7 +26,7 @@
 
 var usual = Config{Keep: 10 * time.Second, Most: 100, PerAccount: 10, Repeats: 3}
 
-func TestBoundsAreChecked(t *testing.T) {
+func TestForwardAuthBoundsAreChecked(t *testing.T) {
 	for _, bad := range []Config{{}, {Keep: 1, Most: 1, PerAccount: 1}, {Keep: 1, Most: 1, Repeats: 1},
 		{Keep: 1, PerAccount: 2, Most: 1, Repeats: 1}, {Most: 1, PerAccount: 1, Repeats: 1}} {
 		if _, err := NewMemory[int, int](bad); err == nil {
@@ -37,7 +37,7 @@
 
 // A check that is asked again while it is open is told with the first; afterwards it gets the verdict, for as long
 // as that is kept and as often as may be.
-func TestJoinAndRepeat(t *testing.T) {
+func TestForwardAuthJoinAndRepeat(t *testing.T) {
 	m := memory(t, usual)
 	e, s := m.Ask(0, "a", key(1), 1)
 	if s != New {
@@ -79,7 +79,7 @@
 }
 
 // A flood of one account, settled or left open, takes no verdict of another's.
-func TestFloodPushesOutItsOwn(t *testing.T) {
+func TestForwardAuthFloodPushesOutItsOwn(t *testing.T) {
 	for _, settle := range []bool{true, false} {
 		m := memory(t, usual)
 		for i := range 9 {
@@ -123,7 +123,7 @@
 
 // Against a plain model, which keeps all: what the memory tells is what was decided, within its time; who waits is told
 // once; and no bound is passed.
-func TestMemoryAgainstModel(t *testing.T) {
+func TestForwardAuthMemoryAgainstModel(t *testing.T) {
 	type check struct {
 		account string
 		key     int
