Stand-ins share their listener and its end

The flag server and the counter had the same thirty lines for taking and ending connections; they are one package now.

--- a/internal/standin/flagserver/flagserver.go
+++ b/internal/standin/flagserver/flagserver.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"snowhall/internal/standin/serve"
 )
 
 // Sent is one command that came whole.
@@ -21,12 +23,10 @@
 
 // Server is one flag server.
 type Server struct {
-	ln   net.Listener
+	*serve.Server
 	mu   sync.Mutex
 	cfg  Config
 	sent []Sent
-	open map[net.Conn]bool
-	wg   sync.WaitGroup
 }
 
 // Config says how it behaves. It may be changed while it runs.
@@ -38,20 +38,12 @@
 }
 
 // Start listens on loopback.
-func Start(cfg Config) (*Server, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	s := &Server{ln: ln, cfg: cfg, open: map[net.Conn]bool{}}
-	s.wg.Add(1)
-	go s.accept()
-	return s, nil
+func Start(cfg Config) (s *Server, err error) {
+	s = &Server{cfg: cfg}
+	s.Server, err = serve.Start(s.serve)
+	return s, err
 }
 
-// Addr is where it listens.
-func (s *Server) Addr() string { return s.ln.Addr().String() }
-
 // Set changes how it behaves.
 func (s *Server) Set(cfg Config) {
 	s.mu.Lock()
@@ -66,40 +58,7 @@
 	return append([]Sent(nil), s.sent...)
 }
 
-// Close ends it as a process that dies: its connections are reset or ended.
-func (s *Server) Close() {
-	s.ln.Close()
-	s.mu.Lock()
-	for nc := range s.open {
-		nc.Close()
-	}
-	s.mu.Unlock()
-	s.wg.Wait()
-}
-
-func (s *Server) accept() {
-	defer s.wg.Done()
-	for {
-		nc, err := s.ln.Accept()
-		if err != nil {
-			return
-		}
-		s.mu.Lock()
-		s.open[nc] = true
-		s.mu.Unlock()
-		s.wg.Add(1)
-		go s.serve(nc)
-	}
-}
-
 func (s *Server) serve(nc net.Conn) {
-	defer s.wg.Done()
-	defer func() {
-		nc.Close()
-		s.mu.Lock()
-		delete(s.open, nc)
-		s.mu.Unlock()
-	}()
 	in := bufio.NewReader(nc)
 	for {
 		args, err := command(in)
--- a/internal/standin/quota/quota.go
+++ b/internal/standin/quota/quota.go
@@ -9,17 +9,17 @@
 	"strings"
 	"sync"
 	"time"
+
+	"snowhall/internal/standin/serve"
 )
 
 // Counter is one counter.
 type Counter struct {
-	ln    net.Listener
+	*serve.Server
 	mu    sync.Mutex
 	names map[string]*number
-	open  map[net.Conn]bool
 	stall chan struct{} // answers wait while it is not nil
 	calls int
-	wg    sync.WaitGroup
 }
 
 type number struct {
@@ -28,20 +28,12 @@
 }
 
 // Start listens on loopback.
-func Start() (*Counter, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	c := &Counter{ln: ln, names: map[string]*number{}, open: map[net.Conn]bool{}}
-	c.wg.Add(1)
-	go c.accept()
-	return c, nil
+func Start() (c *Counter, err error) {
+	c = &Counter{names: map[string]*number{}}
+	c.Server, err = serve.Start(c.serve)
+	return c, err
 }
 
-// Addr is where it listens.
-func (c *Counter) Addr() string { return c.ln.Addr().String() }
-
 // Calls is how many calls have come.
 func (c *Counter) Calls() int {
 	c.mu.Lock()
@@ -72,42 +64,16 @@
 
 // Close ends it; its connections end too.
 func (c *Counter) Close() {
-	c.ln.Close()
 	c.mu.Lock()
 	if c.stall != nil {
 		close(c.stall)
 		c.stall = nil
 	}
-	for nc := range c.open {
-		nc.Close()
-	}
 	c.mu.Unlock()
-	c.wg.Wait()
-}
-
-func (c *Counter) accept() {
-	defer c.wg.Done()
-	for {
-		nc, err := c.ln.Accept()
-		if err != nil {
-			return
-		}
-		c.mu.Lock()
-		c.open[nc] = true
-		c.mu.Unlock()
-		c.wg.Add(1)
-		go c.serve(nc)
-	}
+	c.Server.Close()
 }
 
 func (c *Counter) serve(nc net.Conn) {
-	defer c.wg.Done()
-	defer func() {
-		nc.Close()
-		c.mu.Lock()
-		delete(c.open, nc)
-		c.mu.Unlock()
-	}()
 	for in := bufio.NewScanner(nc); in.Scan(); {
 		answer := c.call(strings.Fields(in.Text()))
 		c.mu.Lock()
