Module: requests have sizes, learned from their units; an idle latency needs thirty answers

Lines at fault, all in door.go: latency (class mean, so large ones were sent in vain and small ones refused with time to spare), free, choose, pick, hopeless and coldFull (counted requests, not work), pay's band (worth by units, so the small requests, which bring most for their work, came last). Second cause: floor was set by the first answer, which may be a lucky one, and rose only by 1.5% an answer once the slots had shrunk to nothing; it now follows the mean for thirty answers.

--- a/door.go
+++ b/door.go
@@ -41,6 +41,7 @@
 	shrinkRatio  = 2.2                     // ... or this many times an idle fleet's latency, and grow ...
 	growShare    = 0.7                     // ... while it is under this share of both ("well under")
 	squeezed     = 3.0                     // slots over all doors at which waiting can't explain latency
+	floorAfter   = 30                      // answers from which a mean can be a floor
 	floorGain    = 0.015                   // weight of an answer by which the idle latency then rises
 	shrinkBy     = 0.93                    // factor for each late answer
 	lateBy       = 0.8                     // factor for an attempt out of time: it may still hold its place
@@ -95,7 +96,7 @@
 		d.base[i] = max(0.001, cmp.Or(c.Aim, c.GiveUp).Seconds()*priorShare)
 		for _, p := range d.set.Plans {
 			d.bestWorth = max(d.bestWorth, c.Worth)
-			d.topWorth = max(d.topWorth, c.Worth*p.Factor*max(1, d.set.MaxUnits))
+			d.topWorth = max(d.topWorth, c.Worth*p.Factor)
 		}
 	}
 	d.act(SetTimer{d.now + tick, 0})
@@ -125,7 +126,7 @@
 	if d.now-d.lastAt > stalled && !ev.Retry {
 		r.tau = min(r.tau, cl.Aim-min(d.now-d.lastAt, d.mostLeft[ev.Class]-ev.Left))
 	}
-	r.c = d.customer(ev)
+	r.c, r.size = d.customer(ev), d.sizes[ev.Class].Of(ev.Units)
 	d.reqs[r.id] = r
 	if r.tau.Seconds() <= d.latency(r, nil)/2 {
 		d.refuse(r, 0)
@@ -234,7 +235,7 @@
 		}
 		return wait
 	}
-	worth := max(1e-9, d.set.Classes[r.class].Worth*p.Factor*r.units)
+	worth := max(1e-9, d.set.Classes[r.class].Worth*p.Factor*d.sizes[r.class].Density(r.units))
 	band := min(bands-1, max(0, int(math.Log2(d.topWorth/worth))))
 	r.level = band
 	if p.Rate > 0 {
@@ -494,15 +495,15 @@
 	return have - r.c.kept - r.c.ceilQueued
 }
 
-// latency is the time an answer takes, by recent ones: the class's mean times the server's slowness.
+// latency is the time an answer takes, by recent ones: the class's mean times size and the server's slowness.
 func (d *Door) latency(r *request, s *server) float64 {
 	if r.grant {
 		return 0
 	}
 	if s != nil {
-		return d.base[r.class] * s.slow
+		return d.base[r.class] * r.size * s.slow
 	}
-	return d.base[r.class]
+	return d.base[r.class] * r.size
 }
 
 // thin says from 0 to 1 how little a door learns of one server by its own sends.
@@ -520,7 +521,7 @@
 		if !s.usable() || !d.mayRepeat(r, s) {
 			continue
 		}
-		cost := (float64(len(s.outs)+s.queued) + 1) * s.slow / (s.weight * d.warmth(s))
+		cost := (s.load + s.waits + 1) * s.slow / (s.weight * d.warmth(s))
 		if s.zone != d.set.Zone {
 			cost *= 1.05
 		}
@@ -599,8 +600,8 @@
 // overload every answer then comes at the last moment, and each client's next try too late).
 func (d *Door) hopeless(r *request, s *server) bool {
 	if d.free(s) { // with many doors the queue is inside the servers, and latency tells of it (a departure)
-		lat := d.base[r.class] * max(1, d.fleet)
-		idle := cmp.Or(d.floor[r.class], lat)
+		lat := d.base[r.class] * max(1, d.fleet) * r.size
+		idle := cmp.Or(d.floor[r.class]*r.size, lat)
 		part := (lat - idle) / max(1e-3, r.tau.Seconds()*margin-idle) *
 			(1 + thinSlope*float64(r.level)/lowest)
 		return d.rng.Float64() < min(1, 2*d.thin())*min(thinMost, (part-thinFrom)/(thinAll-thinFrom))
@@ -608,19 +609,19 @@
 	if len(r.attempts) > 0 {
 		return false
 	}
-	ahead := 1
+	ahead := r.size
 	for l := 0; l <= r.level; l++ {
-		ahead += s.count[l]
+		ahead += s.work[l]
 	}
-	lat := d.latency(r, s)
+	lat := d.base[r.class] * s.slow
 	share := patience * (1 - float64(r.level)/(2*bands)) // the lower the level, the sooner
-	return (d.now-r.at).Seconds()+float64(ahead)*lat/s.slots+lat >= r.tau.Seconds()*margin*share
+	return (d.now-r.at).Seconds()+ahead*lat/s.slots+d.latency(r, s) >= r.tau.Seconds()*margin*share
 }
 
 // free says whether a server has a free slot. Less than one slot means a pause between sends: with many doors
 // even one request each can be too much, and what a server turns away costs it work as well.
 func (d *Door) free(s *server) bool {
-	return len(s.outs) < max(1, int(s.slots)) && d.now >= s.restUntil
+	return s.load < math.Floor(max(1, s.slots)) && d.now >= s.restUntil
 }
 
 // fill releases requests to a server while it has a slot. With nothing queued it helps the longest queue.
@@ -651,7 +652,7 @@
 // first level with a request is always open. The oldest request of the open levels goes.
 func (d *Door) pick(from, to *server) *request {
 	var best *request
-	sum := 0
+	sum := 0.0
 	for l := range from.queue {
 		for from.count[l] > 0 {
 			r := from.head(l)
@@ -664,9 +665,8 @@
 			continue
 		}
 		r := from.head(l)
-		sum += from.count[l]
-		ahead := float64(sum + len(to.outs))
-		if best != nil && ahead*d.latency(r, to)/to.slots >= r.tau.Seconds()*margin*patience {
+		sum += from.work[l]
+		if best != nil && (sum+to.load)*d.base[r.class]*to.slow/to.slots >= r.tau.Seconds()*margin*patience {
 			break
 		}
 		if (best == nil || r.at < best.at) && d.mayRepeat(r, to) {
@@ -694,10 +694,14 @@
 			s.coldTurn = d.now + time.Duration(d.rng.Float64()*span*float64(time.Second))
 		}
 	}
-	for len(s.recent) > 0 && (d.now-s.recent[0]).Seconds() >= span {
+	for len(s.recent) > 0 && (d.now-s.recent[0].at).Seconds() >= span {
 		s.recent = s.recent[1:]
 	}
-	return float64(len(s.recent)) >= budget || d.now < s.coldTurn
+	work := 0.0
+	for _, e := range s.recent {
+		work += e.size
+	}
+	return work >= budget || d.now < s.coldTurn
 }
 
 // send is the one place that sends. The guards come last here, whatever was decided before.
@@ -722,7 +726,7 @@
 	limit := r.at + r.tau - d.now
 	if trial {
 		s.trying = true
-		limit = min(limit, time.Duration(trialWait*d.base[r.class]*float64(time.Second)))
+		limit = min(limit, time.Duration(trialWait*d.latency(r, nil)*float64(time.Second)))
 	}
 	if len(s.outs) == 0 {
 		s.heard = max(s.heard, d.now)
@@ -730,8 +734,9 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	s.outs = append(s.outs, a)
+	s.load += r.size
 	if s.cold {
-		s.recent = append(s.recent, d.now)
+		s.recent = append(s.recent, sent{d.now, r.size})
 	}
 	d.act(Send{r.id, s.name, limit})
 }
@@ -747,6 +752,9 @@
 	r.out--
 	s := a.s
 	s.outs = slices.DeleteFunc(s.outs, func(o *attempt) bool { return o == a })
+	if s.load -= r.size; len(s.outs) == 0 {
+		s.load = 0
+	}
 	if !r.ran && ev.Status != Full && ev.Status != ConnectFailed && ev.Status != Moot {
 		r.ran, r.ranAt, r.ranOn = true, a.at, s
 	}
@@ -777,7 +785,7 @@
 // learn takes what an outcome tells of a server: latency, slots, signs of life.
 func (d *Door) learn(s *server, a *attempt, ev Outcome) {
 	class, took := a.r.class, max(1e-3, ev.Latency.Seconds()) // within a tick counts as a millisecond
-	ratio := min(took/d.base[class], 8)                       // one costly request says little of its server
+	ratio := min(took/(d.base[class]*a.r.size), 8)            // one costly request says little of its server
 	news := min(ratio, fleetWorst)
 	if ev.Status == OK || ev.Status == Full || ev.Status == Timeout && !s.ejected {
 		if ev.Status == Full {
@@ -812,10 +820,11 @@
 	case OK:
 		s.slow = max(0.2, s.slow+slowGain*(ratio-s.slow))
 		if !s.cold {
-			d.rateAdd()
+			d.rateAdd(a.r.size)
 		}
 		d.answers[class]++
-		d.base[class] += max(baseGain, 1/float64(d.answers[class])) * (took - d.base[class])
+		d.sizes[class].Add(a.r.units, took/d.base[class])
+		d.base[class] += max(baseGain, 1/float64(d.answers[class])) * (took/a.r.size - d.base[class])
 		d.pace(s, a.r)
 	}
 	if a.trial && s.ejected {
@@ -835,16 +844,16 @@
 // a slowness of everything is told from overload.
 func (d *Door) pace(s *server, r *request) {
 	floor := &d.floor[r.class]
-	if d.base[r.class] < *floor || *floor == 0 {
+	if d.base[r.class] < *floor || d.answers[r.class] <= floorAfter { // the first few may be small or lucky ones
 		*floor = d.base[r.class]
 	} else if s.slots*float64(d.set.Doors) <= squeezed {
 		*floor += floorGain * (d.base[r.class] - *floor)
 	}
 	high := min(r.tau.Seconds()*margin*shrinkAbove, shrinkRatio**floor)
-	switch lat := d.latency(r, s); {
+	switch lat := d.base[r.class] * s.slow; {
 	case lat > high && s.slots*float64(d.set.Doors) > 0.7*squeezed:
 		s.slots *= shrinkBy
-	case lat < high*growShare && len(s.outs)+1 >= int(s.slots):
+	case lat < high*growShare && s.load+1 >= math.Floor(s.slots):
 		s.slots = min(slotsMost, s.slots+growBy/max(1, s.slots))
 	}
 }
@@ -992,7 +1001,7 @@
 // trialServer gives an ejected server one safe request with time for another attempt, without probes.
 func (d *Door) trialServer(r *request) *server {
 	if d.set.MayProbe || d.set.Classes[r.class].Effect != Safe || len(r.attempts) > 0 || d.set.MaxAttempts < 2 ||
-		r.tau.Seconds() < trialRoom*d.base[r.class] {
+		r.tau.Seconds() < trialRoom*d.latency(r, nil) {
 		return nil
 	}
 	for _, s := range d.ring {
--- a/state.go
+++ b/state.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"snowhall/ceiling"
+	"snowhall/size"
 )
 
 // What a door remembers, and how its queues are kept. Nothing here decides.
@@ -33,11 +34,20 @@
 	queue               [lowest + 1][]*entry
 	count               [lowest + 1]int
 	queued              int
-	recent              []time.Duration // sends of the last cold window
+	recent              []sent              // of the last cold window
+	load                float64             // the work of outs, in mean requests
+	work                [lowest + 1]float64 // of what is queued, so too
+	waits               float64             // the sum of work
 }
 
 type entry struct{ r *request }
 
+// sent is a send to a cold server.
+type sent struct {
+	at   time.Duration
+	size float64
+}
+
 type attempt struct {
 	r     *request
 	no    int
@@ -51,7 +61,7 @@
 	id          uint64
 	class, plan int
 	c           *customer
-	units       float64
+	units, size float64       // of the quota; the work, in that of the mean request of its class
 	at, tau     time.Duration // arrival; useful time left then
 	level       int
 	paid, live  bool   // paid by tokens; counted in customer.live
@@ -161,8 +171,9 @@
 	fleet      float64            // the last answers of all servers, in their classes' means
 	fleetAt    time.Duration
 	counterAt  time.Duration
-	beatAt     time.Duration // last check of what no event tells
-	base       []float64     // mean latency of each class, seconds
+	beatAt     time.Duration  // last check of what no event tells
+	base       []float64      // mean latency of each class, seconds
+	sizes      []size.Profile // how the work of each class grows with units
 	answers    []int
 	topWorth   float64
 	bestWorth  float64 // of the classes'
@@ -210,6 +221,10 @@
 			d.fills = max(d.fills, time.Duration(p.CeilingDepth/p.CeilingRate*float64(time.Second)))
 		}
 	}
+	d.sizes = make([]size.Profile, len(set.Classes))
+	for i := range d.sizes {
+		d.sizes[i] = size.New(set.MaxUnits)
+	}
 	d.base, d.answers = make([]float64, len(set.Classes)), make([]int, len(set.Classes))
 	return d, nil
 }
@@ -224,6 +239,8 @@
 	}
 	s.queue[r.level] = q
 	s.count[r.level]++
+	s.work[r.level] += r.size
+	s.waits += r.size
 	s.queued++
 	d.queued++
 }
@@ -234,10 +251,15 @@
 		return
 	}
 	r.spot.r = nil
+	r.on.work[r.level] -= r.size
+	r.on.waits -= r.size
 	if r.on.count[r.level]--; r.on.count[r.level] == 0 {
 		r.on.queue[r.level] = nil // only empty places are left, and nobody may come to pick here
+		r.on.work[r.level] = 0
+	}
+	if r.on.queued--; r.on.queued == 0 {
+		r.on.waits = 0
 	}
-	r.on.queued--
 	d.queued--
 	r.spot, r.on = nil, nil
 }
@@ -457,8 +479,8 @@
 	return min(p.Burst, c.store+p.Rate*(d.now-c.storeAt).Seconds())
 }
 
-// rateAdd keeps the mean rate of what a warm server carries: answers, as under overload more is sent.
-func (d *Door) rateAdd() {
+// rateAdd keeps the mean rate of what a warm server carries, in mean requests: answers, as under overload more is sent.
+func (d *Door) rateAdd(size float64) {
 	n := 0.0
 	for _, s := range d.ring {
 		if s.usable() && !s.cold {
@@ -466,7 +488,7 @@
 		}
 	}
 	gap := (d.now - d.rateAt).Seconds() / rateOver
-	d.rate = d.rate*math.Exp(-gap) + 1/(rateOver*max(1, n))
+	d.rate = d.rate*math.Exp(-gap) + size/(rateOver*max(1, n))
 	d.rateAt = d.now
 }
 
--- /dev/null
+++ b/units_test.go
@@ -0,0 +1,72 @@
+package snowhall
+
+import (
+	"testing"
+	"time"
+)
+
+// schooled is a door that has seen requests of one unit take 40 ms and those of four 280 ms.
+func schooled(t *testing.T, list ...Backend) *Door {
+	t.Helper()
+	set := basic()
+	set.Counter = false
+	d := open(t, set, list...)
+	for i := range uint64(400) {
+		r, took := ask(i, 0, 2), 40*ms
+		if i%2 == 1 {
+			r.Units, took = 4, 280*ms
+		}
+		now := time.Duration(i) * 300 * ms
+		for _, s := range only[Send](d.Step(now, []Event{r})) {
+			d.Step(now+took, []Event{served(s, 0, took)})
+		}
+	}
+	return d
+}
+
+// Under a backlog a request of one unit still has time where one of four has none: the class's mean fits neither.
+func TestLatencyGoesByUnits(t *testing.T) {
+	d := schooled(t, backends(2)...)
+	now := 200 * time.Second
+	d.Step(now-ms, nil) // else it takes itself for one that stood still
+	small, large := ask(1000, 0, 2), ask(1001, 0, 2)
+	small.Left, large.Left, large.Units = 100*ms, 100*ms, 4
+	acts := d.Step(now, []Event{small, large})
+	if got := only[Send](acts); len(got) != 1 || got[0].ID != 1000 {
+		t.Errorf("sent on %v; want the small one, which 100 ms are enough for", got)
+	}
+	if got := only[Refuse](acts); len(got) != 1 || got[0].ID != 1001 {
+		t.Errorf("refused %v; want the large one at once", got)
+	}
+}
+
+// Places are filled by work: in the room of a few large requests there are many small ones.
+func TestPlacesAreWork(t *testing.T) {
+	count := func(units float64) int {
+		d := schooled(t, backends(1)...)
+		n := 0
+		for i := range uint64(60) {
+			r := ask(2000+i, 0, 2)
+			r.Units = units
+			n += len(only[Send](d.Step(200*time.Second, []Event{r})))
+		}
+		return n
+	}
+	if small, large := count(1), count(4); small < 3*large || large == 0 {
+		t.Errorf("%d small requests at once and %d large ones; want three times as many at least", small, large)
+	}
+}
+
+// What brings more worth for its work goes first, also if it is of fewer units.
+func TestWorthOfTheWork(t *testing.T) {
+	d := schooled(t, backends(1)...)
+	level := func(units float64) int {
+		r := ask(4000+uint64(units), 0, 2)
+		r.Units = units
+		d.Step(200*time.Second, []Event{r})
+		return d.reqs[r.ID].level
+	}
+	if one, four := level(1), level(4); one >= four {
+		t.Errorf("level %d for one unit, %d for four; want the small one first", one, four)
+	}
+}
