Counter: an answer that can't be read was added, and its units are given back

A probe that counted refusals by line found nearly all in beyond, with the counter known and the request waiting for that call. Lines at fault: counter.broke ended a spoilt call as Timeout, so its block was lost to the customer; spend never asked again for a request whose call had failed; and counted cut callShare once for each of the calls of one broken connection (0.8^5 for one event). A spoilt answer is Failed now: added, total unknown, given back with the next call; who waits may call once more while there is time; calls cut the share once a round trip, as congestion control does. Ruled out: CPU (0.05 of a second at most), fleet (no server left out for long), the sockets (none refused).

--- a/api.go
+++ b/api.go
@@ -78,6 +78,7 @@
 
 	Counter        bool          // Count is allowed
 	CounterTimeout time.Duration // a Count with no answer by then ends as Timeout
+	CounterFee     float64       // part of all service that one call for each request would cost; 0: none
 	MaxUnits       float64       // the most units one request counts
 	LendCeilings   bool          // with Counter: a ceiling is there for whichever door has the demand; all doors alike
 	TruedUp        bool          // Request.Units is a guess; Outcome.Units tells the true ones
@@ -174,7 +175,7 @@
 // Counted answers one Count.
 type Counted struct {
 	Name   uint64
-	Status Status // OK; Full or ConnectFailed: nothing was added; Timeout: it may have been
+	Status Status // OK; Failed: added, the total is not known; Full, ConnectFailed: not added; Timeout: it may be
 	Total  float64
 }
 
--- a/door.go
+++ b/door.go
@@ -52,6 +52,9 @@
 	atOnceRoom   = 0.5                     // attempts that other doors may have out beyond their mean
 	leaveLeast   = 0.01                    // part of the demand from which some of the ceiling is kept for leave
 	ceilWait     = 0.3                     // part of its time that a request waits for the ceiling's share
+	fullFrom     = 0.75                    // part of a store from which a lease may reach further ...
+	fullAhead    = 400 * time.Second       // ... by this, times what a call for each request costs ...
+	leaseFull    = 8 * time.Second         // ... but by no more than this
 	askAhead     = 300 * time.Millisecond  // demand the tokens left must cover, else the next is asked for
 	demandOver   = 2 * time.Second         // demand is averaged over this
 	leaseLife    = 3 * time.Second         // tokens not spent by then are given back with the next call
@@ -316,6 +319,9 @@
 	r.byLedger = false
 	lent := d.terms[r.plan].Rate > 0
 	life := leaseLife
+	if c.known {
+		life += d.further(c, p)
+	}
 	if lent && short {
 		life = shortLife
 	}
@@ -365,10 +371,17 @@
 	return len(d.asks) < mostAsks && (d.callShare > callsFew || d.now-d.counterAt >= pause)
 }
 
+// further is by how much a lease reaches further ahead where the customer's store is nearly full: units that
+// no other door misses may lie here, the longer the more a call costs.
+func (d *Door) further(c *customer, p *Plan) time.Duration {
+	full := max(0, d.level(c, p)/p.Burst-fullFrom) / (1 - fullFrom)
+	return time.Duration(full * min(float64(leaseFull), d.set.CounterFee*float64(fullAhead)))
+}
+
 // ask adds a block on the counter: the units, or what this door's demand will use. What goes out past this
 // door's share of the ceiling must not be kept for long: the ceiling's store fills meanwhile.
 func (d *Door) ask(c *customer, p *Plan, units float64, short bool) {
-	ahead := leaseAhead
+	ahead := leaseAhead + d.further(c, p)
 	if short {
 		ahead = shortLife
 	}
@@ -388,8 +401,11 @@
 	if k == nil {
 		return
 	}
-	if ev.Status != OK {
-		d.callShare = max(callsLeast, d.callShare*callsCut)
+	if ev.Status == Failed { // the counter lives, and this says nothing of how much it bears
+	} else if ev.Status != OK {
+		if k.at >= d.cutAt { // the calls of one connection end together, and say no more than one of them
+			d.callShare, d.cutAt = max(callsLeast, d.callShare*callsCut), d.now
+		}
 	} else {
 		took := (d.now - k.at).Seconds() / d.set.CounterTimeout.Seconds()
 		d.callShare = min(1, max(callsFew, d.callShare*(1+callsGrow*(1-took/callTakes))))
@@ -410,9 +426,14 @@
 		k.c.asking = false
 		if ev.Status == OK {
 			d.grant(k, ev.Total)
+		} else if ev.Status == Failed { // all was added, and no units come of it: they are given back
+			k.c.owed += k.owed - k.amount
 		} else if ev.Status != Timeout {
 			k.c.owed += k.owed
 		}
+		if ev.Status != OK && d.now-k.at < d.set.CounterTimeout/2 {
+			k.c.askAnew() // the connection broke: there is time to try once more
+		}
 	}
 	d.serve(k.c)
 }
--- a/state.go
+++ b/state.go
@@ -81,6 +81,7 @@
 	retry       bool // the client's repeat
 	unsure      bool // on credit: neither paid by the lease nor looked up
 	asked       bool // has called the counter
+	askedTwice  bool // ... and may not after another failure
 
 	grant, granted  bool // wants leave only; has got it
 	hold, holdUntil time.Duration
@@ -171,6 +172,7 @@
 	fleet      float64            // the last answers of all servers, in their classes' means
 	fleetAt    time.Duration
 	counterAt  time.Duration
+	cutAt      time.Duration  // when callShare last shrank
 	beatAt     time.Duration  // last check of what no event tells
 	base       []float64      // mean latency of each class, seconds
 	sizes      []size.Profile // how the work of each class grows with units
@@ -348,6 +350,13 @@
 	}
 }
 
+// askAnew lets each request in a customer's line call the counter once more.
+func (c *customer) askAnew() {
+	for _, r := range c.waiting {
+		r.asked, r.askedTwice = r.asked && r.askedTwice, true
+	}
+}
+
 // shift takes a request out of the head of its customer's line.
 func (c *customer) shift(r *request) {
 	c.waiting[0] = nil
--- a/units_test.go
+++ b/units_test.go
@@ -70,3 +70,34 @@
 		t.Errorf("level %d for one unit, %d for four; want the small one first", one, four)
 	}
 }
+
+// A counter whose answer can't be read has added the block all the same: it is given back with the next call, which is made at
+// once for who waits, and once only.
+func TestSpoiltAnswerOfTheCounter(t *testing.T) {
+	d := open(t, basic(), backends(2)...)
+	var calls []Count
+	now := ms
+	for i := range uint64(40) { // the fresh door's share is spent first
+		calls = only[Count](d.Step(now, []Event{ask(i, 0, 0)}))
+		if len(calls) > 0 {
+			break
+		}
+	}
+	if len(calls) != 1 {
+		t.Fatal("no call of the counter")
+	}
+	first := calls[0]
+	owed := d.customers["c"].owed
+	acts := d.Step(now+ms, []Event{Counted{Name: first.Name, Status: Failed}})
+	again := only[Count](acts)
+	if len(again) != 1 || len(only[Refuse](acts)) != 0 {
+		t.Fatalf("after a spoilt answer: %v; want one more call and no refusal", acts)
+	}
+	if sum := first.Amount + again[0].Amount; sum >= 2*first.Amount+owed {
+		t.Errorf("%v and then %v added; want the first block given back", first.Amount, again[0].Amount)
+	}
+	acts = d.Step(now+2*ms, []Event{Counted{Name: again[0].Name, Status: Failed}})
+	if len(only[Count](acts)) != 0 || len(only[Refuse](acts)) != 1 {
+		t.Errorf("after a second one: %v; want a refusal and no third call", acts)
+	}
+}
