Module: a late answer of the counter is a lease, and one call at a time waits for it

Lines at fault: counted, which forgets the block, and spend, which asks again at once. The counter's client tells of answers to calls that were given up (Late); they are leased from then on, and for 400 ms or until then nothing more is asked for the customer. Bounded: 256 calls, 5 s. The emulator's slow counter tells too.

--- a/api.go
+++ b/api.go
@@ -179,6 +179,13 @@
 	Total  float64
 }
 
+// Late tells of a Count that has ended as Timeout that it was added after all. Who drives a Door need not know that ever.
+type Late struct {
+	Ticket uint64
+	Status Status  // OK, or Failed: added, the total is not known
+	Total  float64 // with OK
+}
+
 // Timer is due.
 type Timer struct{ Cookie uint64 }
 
@@ -202,6 +209,7 @@
 func (FirstByte) event() {}
 func (Gone) event()      {}
 func (Counted) event()   {}
+func (Late) event()      {}
 func (Timer) event()     {}
 func (List) event()      {}
 func (Probed) event()    {}
@@ -243,6 +251,7 @@
 	Name   uint64
 	Amount float64
 	Keep   time.Duration // a new name is forgotten after this
+	Ticket uint64        // names this call in a Late
 }
 
 // SetTimer asks for a Timer event at or after At.
--- a/door.go
+++ b/door.go
@@ -333,7 +333,7 @@
 	}
 	fill := p.Rate / c.doors * (1 - d.callShare) * (d.now - c.spareAt).Seconds()
 	c.spare, c.spareAt = min(max(c.spare, p.Burst/c.doors), c.spare+fill), d.now
-	calls := d.set.Counter && !r.asked && d.now >= c.emptyUntil && d.mayCall()
+	calls := d.set.Counter && !r.asked && d.now >= max(c.emptyUntil, c.pauseUntil) && d.mayCall()
 	switch {
 	case short && !d.seasoned(c, p):
 		d.look(c)
@@ -426,9 +426,12 @@
 		k.c.asking = false
 		if ev.Status == OK {
 			d.grant(k, ev.Total)
-		} else if ev.Status == Failed { // all was added, and no units come of it: they are given back
-			k.c.owed += k.owed - k.amount
-		} else if ev.Status != Timeout {
+		} else if ev.Status == Failed { // all was added, and no units come of the block: it is given back
+			k.c.owed -= k.block
+		} else if ev.Status == Timeout {
+			d.lates.keep(k, d.now)
+			k.c.pauseUntil = d.now + latePause
+		} else {
 			k.c.owed += k.owed
 		}
 		if ev.Status != OK && d.now-k.at < d.set.CounterTimeout/2 {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -34,6 +34,8 @@
 	Space       string        // names of one space are apart from those of another; empty: as the module makes them
 	Timeout     time.Duration // a call with no answer by then ends as Timeout
 	DialTimeout time.Duration
+	// Late is told by the loop goroutine of calls that have ended as Timeout and were added after all; nil: nobody is.
+	Late func(snowhall.Late)
 }
 
 // Counter calls the quota counter. The calls of one name go by one connection, one behind another. The loop owns it.
@@ -65,6 +67,7 @@
 // call is one add whose answer is still to come.
 type call struct {
 	name    uint64
+	ticket  uint64
 	line    *line
 	text    []byte
 	written bool // it may have reached the counter
@@ -130,7 +133,7 @@
 // Add makes a call.
 func (c *Counter) Add(a snowhall.Count) {
 	l := c.lines[a.Name%conns]
-	k := &call{name: a.Name, line: l}
+	k := &call{name: a.Name, ticket: a.Ticket, line: l}
 	c.open[k.name] = append(c.open[k.name], k)
 	if !c.cfg.Enabled || len(l.calls) >= owedMost {
 		l.end(k, snowhall.ConnectFailed, 0)
@@ -305,6 +308,9 @@
 	l.calls = l.calls[1:]
 	l.used = l.l.Now()
 	l.owed = l.used
+	if late := l.c.cfg.Late; k.ended && k.ticket != 0 && late != nil && (status == snowhall.OK || status == snowhall.Failed) {
+		late(snowhall.Late{Ticket: k.ticket, Status: status, Total: total})
+	}
 	l.end(k, status, total)
 	if l.left && len(l.calls) == 0 {
 		l.close()
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -5,6 +5,7 @@
 	"snowhall/internal/standin/peer"
 
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -174,3 +175,30 @@
 	}
 	p.WantsEnd()
 }
+
+// An answer that comes after its call was given up is told of by the call's ticket, if it says that something was added.
+func TestCounterTellsOfLateAnswers(t *testing.T) {
+	ln := peer.Listen(t)
+	f := idle(t)
+	var late []uint64
+	f.counter.cfg.Late = func(ev snowhall.Late) { late = append(late, ev.Ticket) }
+	f.counter.Move(ln.Addr().String())
+	for i, name := range []uint64{4, 8, 12, 16} { // all by one connection
+		f.counter.Add(snowhall.Count{Name: name, Amount: 1, Keep: 4 * time.Second, Ticket: uint64(i + 1)})
+	}
+	p := peer.Accept(t, ln)
+	peer.Pump(t, f.Loop, func() bool { return f.counter.lines[0].nc != nil })
+	p.Reads("add 4 1 4000\r\nadd 8 1 4000\r\nadd 12 1 4000\r\nadd 16 1 4000\r\n")
+	giveUpCalls(f)
+	if got := counted(f); len(got) != 4 || len(late) != 0 {
+		t.Fatalf("%+v, late %v before any answer", got, late)
+	}
+	p.Write("ok 1\r\nbusy\r\nok 7\r\nwhat\r\n")
+	peer.Pump(t, f.Loop, func() bool { return f.counter.lines[0].nc == nil })
+	if want := []uint64{1, 3, 4}; !slices.Equal(late, want) { // what can't be read was added too
+		t.Errorf("late: %v, want %v", late, want)
+	}
+	if got := counted(f); len(got) != 4 {
+		t.Errorf("%d answers for four calls", len(got))
+	}
+}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -105,7 +105,7 @@
 func (c *Counter) Empty() { clear(c.names) }
 
 // add takes one call and hands the answer to a function.
-func (c *Counter) add(a snowhall.Count, timeout time.Duration, answer func(snowhall.Counted)) {
+func (c *Counter) add(a snowhall.Count, timeout time.Duration, answer func(snowhall.Event)) {
 	w := c.w
 	c.Calls++
 	if c.Gone {
@@ -123,6 +123,9 @@
 		total := n.total
 		if c.Mute || c.Takes >= timeout {
 			w.After(max(0, timeout-half), func() { answer(snowhall.Counted{Name: a.Name, Status: snowhall.Timeout}) })
+			if !c.Mute && a.Ticket != 0 {
+				w.After(c.Takes-half, func() { answer(snowhall.Late{Ticket: a.Ticket, Status: snowhall.OK, Total: total}) })
+			}
 			return
 		}
 		w.After(c.Takes-half, func() { answer(snowhall.Counted{Name: a.Name, Status: snowhall.OK, Total: total}) })
@@ -353,7 +356,7 @@
 		w.After(takes, d.here(func() { d.tell(snowhall.Probed{Backend: a.Backend, Status: status}) }))
 	case snowhall.Count:
 		life := d.life
-		w.Counter.add(a, d.set.CounterTimeout, func(c snowhall.Counted) {
+		w.Counter.add(a, d.set.CounterTimeout, func(c snowhall.Event) {
 			if d.life == life {
 				d.tell(c)
 			}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -72,7 +72,8 @@
 	c.Connect(
 		upstream.New(l, up, c.Probed),
 		counter.New(l, counter.Config{Addr: cfg.Counter, Space: parts.Space, Enabled: cfg.Settings.Counter,
-			Timeout: cfg.Settings.CounterTimeout, DialTimeout: cfg.Transport.DialTimeout}, c.Counted),
+			Timeout: cfg.Settings.CounterTimeout, DialTimeout: cfg.Transport.DialTimeout,
+			Late: func(ev snowhall.Late) { c.Tell(ev) }}, c.Counted),
 		discovery.New(l, log, discovery.Config{Addr: cfg.Discovery, Known: cfg.Known, Zones: cfg.Transport.Zones,
 			Kinds: cfg.Transport.Kinds}, told))
 	return c, nil
--- /dev/null
+++ b/late.go
@@ -0,0 +1,70 @@
+package snowhall
+
+// What became of counter calls that ended as Timeout. Such a call has taken a block from its customer's store, or may yet,
+// and no request had any use of it: where the counter is slow, each call that is given up shortens the customer's quota by what its
+// demand would have used in a lease. An answer that comes too late for those who waited is still that of the block: it is
+// leased from then on. And nothing more is asked for the customer until it has come, or for a while, so that a slow counter takes
+// one block and not ten.
+//
+// Giving the blocks back instead was tried: the other doors see the store gain what it cannot have gained, take the number for
+// lost and put it right, each of them.
+
+import "time"
+
+const (
+	lateMost  = 256                    // calls whose late answers are waited for; for one more the oldest is given up
+	lateKeep  = 5 * time.Second        // and no longer than this
+	latePause = 400 * time.Millisecond // in which nothing more is asked for the customer
+)
+
+// lates are the calls that ended as Timeout, by their tickets. The zero value is ready.
+type lates struct {
+	calls map[uint64]*call
+	order []uint64 // oldest first
+	last  uint64   // ticket given
+}
+
+// ticket makes a new one; 0 is none.
+func (l *lates) ticket() uint64 {
+	l.last++
+	return l.last
+}
+
+// keep remembers a call that has ended without an answer.
+func (l *lates) keep(k *call, now time.Duration) {
+	if l.calls == nil {
+		l.calls = map[uint64]*call{}
+	}
+	l.calls[k.ticket] = k
+	l.order = append(l.order, k.ticket)
+	for len(l.order) > 0 {
+		old := l.calls[l.order[0]]
+		if old != nil && len(l.order) <= lateMost && now-old.at <= lateKeep {
+			break
+		}
+		delete(l.calls, l.order[0])
+		l.order = l.order[1:]
+	}
+}
+
+// take is the call of a ticket, which is then forgotten; nil: nothing is known of it, or no longer.
+func (l *lates) take(ticket uint64) *call {
+	k := l.calls[ticket]
+	delete(l.calls, ticket)
+	return k
+}
+
+// late takes the answer to a call that was given up, if it goes by the number of now: a window's number does not outlive it.
+func (d *Door) late(ev Late) {
+	k := d.lates.take(ev.Ticket)
+	if k == nil || k.window != int64(d.now/windowLen) || d.now-k.at > lateKeep {
+		return
+	}
+	k.c.pauseUntil = 0
+	if ev.Status == OK {
+		d.grant(k, ev.Total)
+	} else {
+		k.c.owed -= k.block
+	}
+	d.serve(k.c)
+}
--- /dev/null
+++ b/late_test.go
@@ -0,0 +1,88 @@
+package snowhall
+
+import (
+	"testing"
+	"time"
+)
+
+// called is a door with one call of the counter out, for a request that waits for it.
+func called(t *testing.T) (*Door, Count, time.Duration) {
+	t.Helper()
+	d := open(t, basic(), backends(2)...)
+	now := time.Second
+	for i := range uint64(40) { // the fresh door's share is spent first
+		now += ms
+		if calls := only[Count](d.Step(now, []Event{ask(i, 0, 0)})); len(calls) > 0 {
+			return d, calls[0], now
+		}
+	}
+	t.Fatal("no call of the counter")
+	return nil, Count{}, 0
+}
+
+// A call that is answered too late has taken its block: it is leased from then on, once, whatever is said twice or of other
+// calls; and meanwhile nothing more is asked.
+func TestLateAnswerIsALease(t *testing.T) {
+	d, call, now := called(t)
+	c := d.customers["c"]
+	d.Step(now+50*ms, []Event{Counted{Name: call.Name, Status: Timeout}})
+	if acts := d.Step(now+55*ms, []Event{ask(900, 0, 0)}); len(only[Count](acts)) != 0 {
+		t.Errorf("asked again before the first call is answered: %v", acts)
+	}
+	before := c.tokens
+	d.Step(now+60*ms, []Event{Late{Ticket: call.Ticket + 99, Status: OK}, Late{Status: OK}})
+	if c.tokens != before {
+		t.Errorf("%v tokens after news of other calls; want %v", c.tokens, before)
+	}
+	late := Late{call.Ticket, OK, call.Amount}
+	d.Step(now+70*ms, []Event{late, late})
+	if got := c.tokens - before; got <= 0 || got > call.Amount {
+		t.Errorf("%v leased of the %v added", got, call.Amount)
+	}
+	before = c.tokens
+	d.Step(now+80*ms, []Event{ask(901, 0, 0)}) // the servers are full, but it is paid for
+	if r := d.reqs[901]; before >= 1 && (r == nil || !r.paid || c.tokens != before-1) {
+		t.Errorf("a request inside the lease of %v is not paid by it", before)
+	}
+}
+
+// One whose total can't be read is given back.
+func TestLateAnswerThatIsSpoilt(t *testing.T) {
+	d, call, now := called(t)
+	c := d.customers["c"]
+	d.Step(now+50*ms, []Event{Counted{Name: call.Name, Status: Timeout}})
+	before := c.owed
+	d.Step(now+70*ms, []Event{Late{Ticket: call.Ticket, Status: Failed}})
+	if got := before - c.owed; got <= 0 || got > call.Amount {
+		t.Errorf("%v given back of the %v added", got, call.Amount)
+	}
+}
+
+// What is late by a window belongs to a number that nobody asks any more, and what is stale is forgotten.
+func TestLateAnswerOfAnotherWindow(t *testing.T) {
+	for _, after := range []time.Duration{windowLen, lateKeep + time.Second} {
+		d, call, now := called(t)
+		c := d.customers["c"]
+		d.Step(now+50*ms, []Event{Counted{Name: call.Name, Status: Timeout}})
+		before := c.tokens
+		d.Step(now+after, []Event{Late{call.Ticket, OK, call.Amount}})
+		if c.tokens != before {
+			t.Errorf("%v later: %v tokens, want %v", after, c.tokens, before)
+		}
+	}
+}
+
+// A counter that is silent for ever leaves no more behind than the bound.
+func TestLatesAreBounded(t *testing.T) {
+	var l lates
+	for i := range 10 * lateMost {
+		l.keep(&call{ticket: l.ticket(), at: time.Duration(i)}, time.Duration(i))
+		if len(l.calls) > lateMost || len(l.order) > lateMost {
+			t.Fatalf("%d calls, %d tickets kept; want %d at most", len(l.calls), len(l.order), lateMost)
+		}
+	}
+	l.keep(&call{ticket: l.ticket(), at: time.Hour}, time.Hour)
+	if len(l.calls) != 1 || len(l.order) != 1 {
+		t.Errorf("%d calls and %d tickets after an hour; want the new one", len(l.calls), len(l.order))
+	}
+}
--- a/lend.go
+++ b/lend.go
@@ -181,7 +181,7 @@
 	window := t.Index(d.now)
 	name := counterName(fmt.Sprint(c.name, " beyond ", t.Window), window) // doors with other terms share nothing
 	d.asks[name] = append(d.asks[name], &call{c: c, block: block, window: window, at: d.now, kind: forLease})
-	d.act(Count{name, block, t.Keep()})
+	d.act(Count{name, block, t.Keep(), 0})
 }
 
 // askFirst asks whether this door is the first that asks in a window of a customer's store.
@@ -225,7 +225,7 @@
 func (d *Door) aside(c *customer, kind callKind, window int64, name uint64, amount float64) *call {
 	k := &call{c: c, window: window, at: d.now, kind: kind}
 	d.asks[name] = append(d.asks[name], k)
-	d.act(Count{name, amount, keepFor})
+	d.act(Count{name, amount, keepFor, 0})
 	return k
 }
 
--- a/state.go
+++ b/state.go
@@ -118,6 +118,7 @@
 	grants           int           // of them, those that want leave only
 	listed           bool          // in Door.waiters
 	emptyUntil       time.Duration // the store was seen empty: not asked before then
+	pauseUntil       time.Duration // nor before then, as a call may yet be answered
 }
 
 // call is a counter call that is out; with no block it only puts the number right.
@@ -127,7 +128,8 @@
 	window              int64
 	at                  time.Duration
 	kind                callKind
-	short               bool // for what goes out past this door's share of the ceiling
+	ticket              uint64 // of those whose block is given back after a late answer
+	short               bool   // for what goes out past this door's share of the ceiling
 }
 
 // callKind says what a counter call is for.
@@ -167,6 +169,7 @@
 	sweep      int
 	waiters    []*customer
 	stuck      []*request
+	lates      lates
 	asks       map[uint64][]*call // counter calls out, by name in their order
 	callShare  float64            // part of the requests without tokens that call the counter
 	fleet      float64            // the last answers of all servers, in their classes' means
@@ -279,9 +282,9 @@
 func (d *Door) call(c *customer, block, amount, owed float64) *call {
 	window := int64(d.now / windowLen)
 	name := counterName(c.name, window)
-	k := &call{c: c, block: block, amount: amount, owed: owed, window: window, at: d.now}
+	k := &call{c: c, block: block, amount: amount, owed: owed, window: window, at: d.now, ticket: d.lates.ticket()}
 	d.asks[name] = append(d.asks[name], k)
-	d.act(Count{name, amount, keepFor})
+	d.act(Count{name, amount, keepFor, k.ticket})
 	return k
 }
 
@@ -321,6 +324,8 @@
 			d.outcome(ev)
 		case Counted:
 			d.counted(ev)
+		case Late:
+			d.late(ev)
 		case Timer:
 			d.timer(ev.Cookie)
 		case List:
