--- a/door.go
+++ b/door.go
@@ -35,6 +35,8 @@
 	thinAll      = 0.6                     // ... and at which all are ...
 	thinMost     = 0.97                    // ... but for a few, whose answers tell when it is over
 	thinSlope    = 1.5                     // what the lowest level adds to that part, as a multiple
+	shortGain    = 0.02                    // weight of a request in the part that finds no free place ...
+	shortMost    = 2.0                     // ... and over how much of it nothing beyond a quota is sent
 	slotsStart   = 4.0                     // slots of a server at first, over all doors
 	slotsMost    = 32.0                    // slots at most
 	slotsLeast   = 0.1                     // and at least: under one, pauses between sends
@@ -625,7 +627,18 @@
 // while the client can still try again in time (a departure: the paper lets it wait until it is stale; under
 // overload every answer then comes at the last moment, and each client's next try too late).
 func (d *Door) hopeless(r *request, s *server) bool {
-	if d.free(s) { // with many doors the queue is inside the servers, and latency tells of it (a departure)
+	free := d.free(s)
+	if r.paid && len(r.attempts) == 0 { // what the plan pays for tells how short the servers are
+		short := 0.0
+		if !free {
+			short = 1
+		}
+		d.short += shortGain * (short - d.short)
+	}
+	if r.level == lowest && d.rng.Float64() < d.short*shortMost {
+		return true // a free place is needed for more than this soon
+	}
+	if free { // with many doors the queue is inside the servers, and latency tells of it (a departure)
 		lat := d.base[r.class] * max(1, d.fleet) * r.size
 		idle := cmp.Or(d.floor[r.class]*r.size, lat)
 		part := (lat - idle) / max(1e-3, r.tau.Seconds()*margin-idle) *
--- a/state.go
+++ b/state.go
@@ -181,6 +181,7 @@
 	sizes      []size.Profile // how the work of each class grows with units
 	answers    []int
 	topWorth   float64
+	short      float64 // part of the requests inside their quotas that find no free place
 	bestWorth  float64 // of the classes'
 	rate       float64 // answers a second of a warm server
 	rateAt     time.Duration
