--- a/door.go
+++ b/door.go
@@ -392,7 +392,11 @@
 	if short {
 		d.look(c)
 	}
-	d.call(c, block, block/max(d.callShare, 1/standsFor)+c.owed, c.owed).short = short
+	amount := block / max(d.callShare, 1/standsFor)
+	if c.unheard { // a block that nobody hears of is lost to the customer: it is tried with the least
+		block, amount = units, units
+	}
+	d.call(c, block, amount+c.owed, c.owed).short = short
 	c.owed = 0
 }
 
@@ -432,7 +436,7 @@
 			k.c.owed -= k.block
 		} else if ev.Status == Timeout {
 			d.lates.keep(k, d.now)
-			k.c.pauseUntil = d.now + latePause
+			k.c.pauseUntil, k.c.unheard = d.now+latePause, true
 		} else {
 			k.c.owed += k.owed
 		}
@@ -482,7 +486,7 @@
 	if c.seenIn == k.window && c.seen-total > max(lostLeast*p.Burst, c.seen/2) {
 		c.knownAt = d.now // the counter has lost its numbers: what it tells is to season anew
 	}
-	c.seenIn, c.seen = k.window, total
+	c.seenIn, c.seen, c.unheard = k.window, total, false
 	c.store, c.storeAt = max(held-k.amount, -p.Burst/2), d.now
 	c.tokens, c.grantAt = c.tokens+got, d.now
 }
--- a/late_test.go
+++ b/late_test.go
@@ -86,3 +86,20 @@
 		t.Errorf("%d calls and %d tickets after an hour; want the new one", len(l.calls), len(l.order))
 	}
 }
+
+// A block that nobody hears of is lost to the customer, so the next call asks for one request only; an answer makes it whole again.
+func TestAfterSilenceTheLeastIsAsked(t *testing.T) {
+	d, call, now := called(t)
+	c := d.customers["c"]
+	d.Step(now+50*ms, []Event{Counted{Name: call.Name, Status: Timeout}})
+	c.demand = 100 // a flood, whose lease would be a large one
+	now += 50*ms + latePause
+	calls := only[Count](d.Step(now, []Event{ask(800, 0, 0)}))
+	if len(calls) != 1 || calls[0].Amount > 1+1e-9 {
+		t.Fatalf("after a call without an answer: %v; want one for a single unit", calls)
+	}
+	d.Step(now+ms, []Event{Counted{Name: calls[0].Name, Status: OK, Total: 0}})
+	if c.unheard {
+		t.Error("the counter was heard, and still the least is asked")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -98,6 +98,7 @@
 	spareAt          time.Duration
 	owed             float64 // spent without a lease, to be added to the counter; below 0: to be given back
 	known, asking    bool
+	unheard          bool    // the last call for it had no answer
 	others           float64 // units a second that the other doors add
 	grantAt          time.Duration
 	store            float64 // what the customer's store holds, by the counter
