Module: a window's number carries what the store lacked; another hall counts by its price

A crossing of halls has a price in the settings (charges.cross-zone); choose took 1.05 for it everywhere.

--- a/api.go
+++ b/api.go
@@ -58,6 +58,7 @@
 	Zone       int           // this door's zone
 	Resolution time.Duration // events come at most this often
 	Classes    []Class       // at least one
+	CrossZone  float64       // part of all service that a send of each request to another zone costs; 0: none
 	Plans      []Plan        // at least one
 
 	MaxAttempts   int           // most attempts for one request; 1 at least
--- a/door.go
+++ b/door.go
@@ -37,6 +37,8 @@
 	thinSlope    = 1.5                     // what the lowest level adds to that part, as a multiple
 	shortGain    = 0.02                    // weight of a request in the part that finds no free place ...
 	shortMost    = 2.0                     // ... and over how much of it nothing beyond a quota is sent
+	zoneLeast    = 1.05                    // what a server of another zone counts for in the choice ...
+	zoneCost     = 30.0                    // ... and by how much more, times the price of a crossing
 	slotsStart   = 4.0                     // slots of a server at first, over all doors
 	slotsMost    = 32.0                    // slots at most
 	slotsLeast   = 0.1                     // and at least: under one, pauses between sends
@@ -69,6 +71,7 @@
 	callsGrow    = 0.2                     // ... else fewer call; growth of their part by an instant answer
 	callsCut     = 0.8                     // factor for each call failed
 	overfull     = 0.5                     // parts of a burst over its most at which a store is put right
+	carryLeast   = 0.05                    // ... and part of one from which it is carried into a window's number
 	emptyDoors   = 4.0                     // doors that an empty store serves in the time it gains a unit
 	emptyMost    = 8 * time.Second         // and no door waits longer than this to ask again
 	callsFew     = 0.2                     // part at which the counter is taken to be silent or swamped
@@ -465,7 +468,13 @@
 	if k.short {
 		over = p.Burst * overfullLent
 	}
-	if held > most+over {
+	switch {
+	case c.known && c.seenIn != k.window && d.terms[c.plan].Rate == 0: // it knows nothing of the last number
+		if total <= k.amount+1e-6*math.Abs(k.amount) && held > most+p.Burst*carryLeast {
+			d.call(c, 0, held-most, 0) // it was this door's call that began it
+		}
+		held = min(held, most)
+	case held > most+over:
 		d.correct(c, k, held-most)
 		held = most
 	}
@@ -555,7 +564,7 @@
 		}
 		cost := (s.load + s.waits + 1) * s.slow / (s.weight * d.warmth(s))
 		if s.zone != d.set.Zone {
-			cost *= 1.05
+			cost *= zoneLeast + zoneCost*d.set.CrossZone
 		}
 		if chance > 0 {
 			cost *= 1 - chance + chance*d.rng.ExpFloat64()
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -39,6 +39,7 @@
 func TestJudgementIsFreeOfIO(t *testing.T) {
 	none(t, "snowhall", "net", "os/exec", "snowhall/internal")
 	none(t, "snowhall/ceiling", "net", "os", "snowhall/internal")
+	none(t, "snowhall/size", "net", "os", "time", "snowhall/internal")
 	none(t, "snowhall/internal/emulator", "net", "snowhall/internal/core", "snowhall/internal/loop")
 	none(t, "snowhall/internal/budget", "net")
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -80,7 +80,8 @@
 		ColdFrom: p.float("obligations.cold-from"), WarmWithin: p.micros("obligations.warm-within-us"),
 		Counter:        p.bool("specifics.shared-counter"),
 		CounterTimeout: p.micros("specifics.counter-timeout-us"), CounterFee: p.float("specifics.count-fee"),
-		MaxUnits: p.float("specifics.max-units"), TruedUp: p.bool("specifics.trued-up"),
+		CrossZone: p.float("charges.cross-zone"),
+		MaxUnits:  p.float("specifics.max-units"), TruedUp: p.bool("specifics.trued-up"),
 	}
 	for i := range p.int("classes.count") {
 		k := fmt.Sprintf("classes.%d.", i)
--- a/units_test.go
+++ b/units_test.go
@@ -101,3 +101,60 @@
 		t.Errorf("after a second one: %v; want a refusal and no third call", acts)
 	}
 }
+
+// The door that begins a window's number carries into it what the store lacked; one that comes later does not do so again.
+func TestWindowsCarryWhatTheStoreLacked(t *testing.T) {
+	for name, begins := range map[string]bool{"begins": true, "comes later": false} {
+		d := open(t, basic(), backends(2)...)
+		now := 20 * time.Second
+		d.Step(now, []Event{ask(1, 0, 0)})
+		c := d.customers["c"]
+		c.known, c.spare, c.store, c.storeAt, c.seenIn = true, 0, 0, now, int64(now/windowLen) // the store is empty ...
+		c.demand, c.tokens = 1, 0
+		now = windowLen + 100*ms // ... and ten seconds later there is a new number
+		c.store, c.storeAt = 0, now-200*ms
+		calls := only[Count](d.Step(now, []Event{ask(2, 0, 0)}))
+		if len(calls) != 1 {
+			t.Fatalf("%s: %d calls", name, len(calls))
+		}
+		total := calls[0].Amount
+		if !begins {
+			total += 3
+		}
+		carried := 0.0
+		for _, k := range only[Count](d.Step(now+5*ms, []Event{Counted{Name: calls[0].Name, Status: OK, Total: total}})) {
+			carried += k.Amount
+		}
+		if burst := d.set.Plans[0].Burst; begins && carried < 0.8*burst || !begins && carried > 0 {
+			t.Errorf("%s: %.2f carried into the new number of a store of %v that was empty", name, carried, burst)
+		}
+		if c.tokens > 1 {
+			t.Errorf("%s: %.2f tokens from a store that was empty", name, c.tokens)
+		}
+	}
+}
+
+// Where a crossing has a price, a server of the own zone is taken until it has clearly more to do.
+func TestCrossingsHaveAPrice(t *testing.T) {
+	crossed := func(price float64) int {
+		set := basic()
+		set.Counter, set.CrossZone, set.Doors = false, price, 1
+		list := backends(2)
+		list[1].Zone = 1
+		d := open(t, set, list...)
+		n := 0
+		for i := range uint64(200) {
+			now := time.Duration(i) * 20 * ms
+			for _, s := range only[Send](d.Step(now, []Event{ask(i, 0, 2)})) {
+				if s.Backend == list[1].Name {
+					n++
+				}
+				d.Step(now+19*ms, []Event{served(s, 0, 19*ms)})
+			}
+		}
+		return n
+	}
+	if free, dear := crossed(0), crossed(0.05); dear >= free/2 {
+		t.Errorf("%d of 200 crossed without a price, %d with one; want less than half", free, dear)
+	}
+}
