Upstream: values of up to 512 KiB are passed on, within a budget of memory

Per door some 150 requests in 5 s fail six times over within milliseconds, each with 'malformed RESP': the backends' values have 313 to 376 KB, where the protocol says 64 KiB (resp.frame). A reader now takes its bound on values; what long answers hold while they come in is an eighth of the memory limit at most, and beyond it the attempt fails without blame for the backend. Clients' requests stay at 64 KiB.

--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"strconv"
@@ -14,12 +15,12 @@
 )
 
 const (
-	MostValue   = 64 << 10          // bytes of a value
-	mostMessage = MostValue + 8<<10 // bytes of a whole command or answer
-	mostItems   = 64                // items of an array
-	mostHeader  = 32                // bytes of the line that gives a length
-	mostLine    = 4 << 10           // bytes of a line that is a value by itself
-	usualBuffer = 4 << 10           // bytes of a reader's buffer but for long messages
+	MostValue   = 64 << 10 // bytes of a value
+	mostBeside  = 8 << 10  // bytes of a whole command or answer beside a value
+	mostItems   = 64       // items of an array
+	mostHeader  = 32       // bytes of the line that gives a length
+	mostLine    = 4 << 10  // bytes of a line that is a value by itself
+	usualBuffer = 4 << 10  // bytes of a reader's buffer but for long messages
 )
 
 // Errors of a Reader beside those of what it reads from.
@@ -33,14 +34,17 @@
 type Reader struct {
 	From   io.Reader
 	Memory *budget.Bytes // for what goes beyond the usual buffer; nil: unbounded
+	Most   int           // bytes of a value; 0: MostValue
 	buf    []byte
 	start  int // of what is not yet used
 }
 
 // Next returns the next message. Its bytes are good until the next call.
 func (r *Reader) Next() (redcon.RESP, error) {
+	mostValue := cmp.Or(r.Most, MostValue)
+	mostMessage := mostValue + mostBeside
 	for {
-		if n, err := frame(r.buf[r.start:], 2); err != nil {
+		if n, err := frame(r.buf[r.start:], 2, mostValue); err != nil {
 			return redcon.RESP{}, err
 		} else if n > 0 {
 			_, m := redcon.ReadNextRESP(r.buf[r.start : r.start+n])
@@ -97,7 +101,7 @@
 
 // frame returns the length of the first message in b, 0 if it is not complete yet. It refuses what can't become
 // a message within the limits, before memory is taken for it.
-func frame(b []byte, depth int) (int, error) {
+func frame(b []byte, depth, mostValue int) (int, error) {
 	if len(b) == 0 {
 		return 0, nil
 	}
@@ -122,7 +126,7 @@
 	case redcon.Bulk:
 		size, err := strconv.Atoi(string(line))
 		switch {
-		case err != nil || size < -1 || size > MostValue:
+		case err != nil || size < -1 || size > mostValue:
 			return 0, ErrMalformed
 		case size < 0:
 			return at, nil
@@ -138,7 +142,7 @@
 			return 0, ErrMalformed
 		}
 		for range count {
-			n, err := frame(b[at:], depth-1)
+			n, err := frame(b[at:], depth-1, mostValue)
 			if n == 0 || err != nil {
 				return 0, err
 			}
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"snowhall/internal/budget"
 )
 
 func TestRespReaderTakesPieces(t *testing.T) {
@@ -49,3 +51,35 @@
 		}
 	})
 }
+
+// A reader may be told to take longer values. What they hold is charged while they come in, given back after, and refused where
+// there is no room.
+func TestRespReaderLongValues(t *testing.T) {
+	const long = 300 << 10
+	text := "*2\r\n$307200\r\n" + strings.Repeat("x", long) + "\r\n$-1\r\n"
+	mem := budget.NewBytes(2 * long)
+	in := &Reader{From: iotest.HalfReader(strings.NewReader(text)), Most: long, Memory: mem}
+	if m, err := in.Next(); err != nil || len(m.Raw) != len(text) {
+		t.Fatalf("%d of %d bytes, %v", len(m.Raw), len(text), err)
+	}
+	if mem.Held() < long-usualBuffer {
+		t.Errorf("%d bytes charged for a value of %d", mem.Held(), long)
+	}
+	in.Release()
+	if mem.Held() != 0 {
+		t.Errorf("%d bytes still charged", mem.Held())
+	}
+	for name, r := range map[string]*Reader{"too long": {Most: long - 1}, "as usual": {}, "no room": {Most: long, Memory: budget.NewBytes(long / 2)}} {
+		r.From = strings.NewReader(text)
+		want := ErrMalformed
+		if r.Memory != nil {
+			want = ErrNoMemory
+		}
+		if _, err := r.Next(); !errors.Is(err, want) {
+			t.Errorf("%s: %v, want %v", name, err, want)
+		}
+		if r.Release(); r.Memory != nil && r.Memory.Held() != 0 {
+			t.Errorf("%s: %d bytes still charged", name, r.Memory.Held())
+		}
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -63,6 +63,7 @@
 		c.Found = parts.Found(c)
 	}
 	up := upstream.Config{Most: max(1, BackendSockets(cfg.Sockets)), DialTimeout: cfg.Transport.DialTimeout, Idle: cfg.Transport.ConnIdle}
+	up.Values = budget.NewBytes(ClientMemory(cfg.MemoryMB) / 2)
 	if parts.Places != nil {
 		up.Places = parts.Places(c)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -24,6 +24,7 @@
 
 const (
 	idleShare    = 0.6                    // of the time after which a backend closes an idle connection: closed here before
+	mostValue    = 512 << 10              // bytes of an answer's value: backends send more than the 64 KiB that they state
 	stalledAfter = 250 * time.Millisecond // an answer that has begun and then stops for so long has a wrong length
 )
 
@@ -71,6 +72,7 @@
 	DialTimeout time.Duration // for a connection to come up
 	Idle        time.Duration // backends close a connection that has been idle for this long; 0: never
 
+	Values *budget.Bytes // for what long answers hold while they come in; nil: unbounded
 	Places *budget.Party // of the connections that a process with several pools may have; nil: Most alone holds
 	// Cap joins a server's bound on connections, which pools share; nil: none is known.
 	Cap func(addr string) *budget.Cap
@@ -444,12 +446,13 @@
 		c.nc = nc
 		c.start()
 	})
-	c.in = &resp.Reader{From: reader{c, nc}}
+	c.in = &resp.Reader{From: reader{c, nc}, Most: mostValue, Memory: c.p.cfg.Values}
+	defer c.in.Release()
 	for {
 		m, err := c.in.Next()
 		if err != nil {
 			c.spoilt.Store(errors.Is(err, resp.ErrMalformed) || errors.Is(err, errUnasked) ||
-				errors.Is(err, os.ErrDeadlineExceeded))
+				errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, resp.ErrNoMemory))
 			nc.Close()
 			if c.broken.Store(true); c.sent.Load() != sending { // else write posts it, knowing how far it got
 				c.p.l.Post(c.ended)
