--- /dev/null
+++ b/causes_test.go
@@ -0,0 +1,220 @@
+package snowhall
+
+// One test for each cause found on the second deployment (docs/design/second-deployment.md) that has none beside its code.
+
+import (
+	"testing"
+	"time"
+)
+
+// alone is a door with no counter whose requests have neither quota nor ceiling (plan 2).
+func alone(t *testing.T, servers int) *Door {
+	t.Helper()
+	set := basic()
+	set.Counter, set.Doors = false, 1
+	return open(t, set, backends(servers)...)
+}
+
+// The first answer may be a lucky one. What an idle fleet takes is learned from more than that, or every later answer looks slow and
+// the places shrink to nothing.
+func TestIdleLatencyOutlivesALuckyAnswer(t *testing.T) {
+	d := alone(t, 2)
+	for i := range uint64(60) {
+		took := 80 * ms
+		if i == 0 {
+			took = 2 * ms
+		}
+		now := time.Duration(i) * 100 * ms
+		for _, s := range only[Send](d.Step(now, []Event{ask(i, 0, 2)})) {
+			d.Step(now+took, []Event{served(s, 0, took)})
+		}
+	}
+	if d.floor[0] < 0.06 {
+		t.Errorf("an idle fleet is taken to answer in %.0f ms; all but the first answer took 80", 1000*d.floor[0])
+	}
+}
+
+// A request that runs out of time is ended by its own timer, and its attempt called off. That is a time-out of the server's all the same.
+func TestTheEndOfARequestIsATimeOut(t *testing.T) {
+	d := alone(t, 1)
+	s := only[Send](d.Step(0, []Event{ask(1, 0, 2)}))[0]
+	end := 498 * ms // the aim, less the resolution
+	acts := d.Step(end, []Event{Timer{1<<1 | 1}})
+	if len(only[Cancel](acts)) != 1 || len(only[Refuse](acts)) != 1 {
+		t.Fatalf("at the end of its time: %v", acts)
+	}
+	slots := d.servers[s.Backend].slots
+	d.Step(end, []Event{Outcome{ID: 1, Backend: s.Backend, Status: Cancelled, Latency: end, Closed: true}})
+	if b := d.servers[s.Backend]; b.slots >= slots || b.lost != 1 || b.slow <= 1 {
+		t.Errorf("slots %v of %v, %d answers owed, slowness %v: nothing was learned of a server that took too long", b.slots, slots, b.lost, b.slow)
+	}
+	// One that its client gave up early says nothing of the server.
+	s = only[Send](d.Step(end+ms, []Event{ask(2, 0, 2)}))[0]
+	d.Step(end+5*ms, []Event{Gone{2}})
+	was := *d.servers[s.Backend]
+	d.Step(end+5*ms, []Event{Outcome{ID: 2, Backend: s.Backend, Status: Cancelled, Latency: 4 * ms, Closed: true}})
+	if b := d.servers[s.Backend]; b.slots != was.slots || b.lost != was.lost {
+		t.Error("a client that left is held against the server")
+	}
+}
+
+// Of what joins a queue, the worth decides how much of its time it may be expected to wait.
+func TestWorthDecidesHowLongAQueueMayBe(t *testing.T) {
+	joined := func(class int) int {
+		set := basic()
+		set.Counter, set.Doors = false, 1
+		set.Plans[0] = Plan{Rate: 1e6, Burst: 1e6, Factor: 1}
+		set.Classes = []Class{set.Classes[0], set.Classes[0]}
+		set.Classes[1].Worth = 8
+		d := open(t, set, backends(1)...)
+		n := 0
+		for i := range uint64(100) {
+			d.Step(time.Second, []Event{ask(i, class, 0)})
+		}
+		for _, r := range d.reqs {
+			if r.out == 0 {
+				n++
+			}
+		}
+		return n
+	}
+	if cheap, dear := joined(0), joined(1); dear < 3*cheap || cheap == 0 {
+		t.Errorf("%d cheap and %d dear requests may wait; want three times as many dear ones, and some cheap", cheap, dear)
+	}
+}
+
+// What is beyond a quota finds a free place as long as paid requests do, and none once many of them do not.
+func TestNothingBeyondAQuotaUnderPressure(t *testing.T) {
+	sent := func(short float64) int {
+		set := basic()
+		set.Counter, set.Doors = false, 1
+		set.Plans[1].CeilingRate, set.Plans[1].CeilingDepth = 0, 0
+		d := open(t, set, backends(8)...)
+		n := 0
+		for i := range uint64(400) {
+			now := time.Duration(i) * 5 * ms
+			d.short = short
+			for _, s := range only[Send](d.Step(now, []Event{ask(i, 0, 1)})) {
+				if d.reqs[i].level == lowest {
+					n++
+				}
+				d.Step(now+4*ms, []Event{served(s, 0, 4*ms)})
+			}
+		}
+		return n
+	}
+	if calm, pressed := sent(0), sent(0.6); calm < 100 || pressed != 0 {
+		t.Errorf("%d of 400 go out beyond the quota on a calm day, %d under pressure; want most of them, and none", calm, pressed)
+	}
+}
+
+// The pressure is what paid requests meet: it rises while they find no free place and falls when they do.
+func TestPressureFollowsPaidRequests(t *testing.T) {
+	set := basic()
+	set.Counter, set.Doors = false, 1
+	set.Plans[0] = Plan{Rate: 1e6, Burst: 1e6, Factor: 1}
+	d := open(t, set, backends(1)...)
+	for i := range uint64(60) { // nothing is answered
+		d.Step(time.Second, []Event{ask(i, 0, 0)})
+	}
+	high := d.short
+	if high < 0.3 {
+		t.Fatalf("%.2f of the paid requests are taken to find no place, while the one server answers nothing", high)
+	}
+	d = open(t, set, backends(1)...)
+	d.short = high
+	for i := range uint64(200) {
+		now := time.Duration(i) * 20 * ms
+		for _, s := range only[Send](d.Step(now, []Event{ask(i, 0, 0)})) {
+			d.Step(now+5*ms, []Event{served(s, 0, 5*ms)})
+		}
+	}
+	if d.short > high/5 {
+		t.Errorf("%.2f, and %.2f after two hundred that all found a place", high, d.short)
+	}
+}
+
+// Calls of one connection end together. They say no more of the counter than one of them; one that was made after they ended does.
+func TestCallsThatFailTogetherCountOnce(t *testing.T) {
+	d := open(t, basic(), backends(2)...)
+	now := time.Second
+	names := map[uint64]bool{}
+	for i := uint64(0); len(names) < 5 && i < 400; i++ { // calls for five customers
+		r := ask(i, 0, 0)
+		r.Customer = string(rune('a' + i%5))
+		for _, k := range only[Count](d.Step(now, []Event{r})) {
+			names[k.Name] = true
+		}
+	}
+	if len(names) != 5 {
+		t.Fatalf("%d customers call", len(names))
+	}
+	before := d.callShare
+	var all []Event
+	for name := range names {
+		all = append(all, Counted{Name: name, Status: Timeout})
+	}
+	d.Step(now+50*ms, all)
+	if want := before * callsCut; d.callShare != want {
+		t.Errorf("the part that calls is %v after five calls that ended together; want %v as after one", d.callShare, want)
+	}
+	c := d.customers["a"]
+	c.pauseUntil, c.emptyUntil, c.spare, d.callShare = 0, 0, 0, 1
+	again := only[Count](d.Step(now+60*ms, []Event{func() Request { r := ask(900, 0, 0); r.Customer = "a"; return r }()}))
+	if len(again) != 1 {
+		t.Fatalf("%d calls after that", len(again))
+	}
+	d.Step(now+110*ms, []Event{Counted{Name: again[0].Name, Status: Timeout}})
+	if d.callShare != callsCut {
+		t.Errorf("a later failure does not count: %v", d.callShare)
+	}
+}
+
+// Where calls cost, a lease of a nearly full store reaches further ahead; one of a store that is running out never does.
+func TestLeasesReachFurtherByWhatACallCosts(t *testing.T) {
+	block := func(fee, full float64) float64 {
+		set := basic()
+		set.CounterFee, set.Plans[0] = fee, Plan{Rate: 10, Burst: 400, Factor: 1, OverCost: 0.5}
+		d := open(t, set, backends(2)...)
+		now := time.Second
+		d.Step(now, []Event{ask(1, 0, 0)})
+		c := d.customers["c"]
+		c.known, c.spare, c.tokens, c.demand = true, 0, 0, 10
+		c.store, c.storeAt = full*400, now
+		calls := only[Count](d.Step(now+ms, []Event{ask(2, 0, 0)}))
+		if len(calls) != 1 {
+			t.Fatalf("%d calls", len(calls))
+		}
+		return calls[0].Amount - c.owed
+	}
+	free, dear, scarce := block(0, 1), block(0.02, 1), block(0.02, 0.5)
+	if dear < 3*free || scarce > free+1 {
+		t.Errorf("leases of %.0f where calls are free, %.0f where they cost, %.0f where they cost and the store is half empty", free, dear, scarce)
+	}
+}
+
+// A cold server bears so much work, not so many requests.
+func TestAColdServerBearsWork(t *testing.T) {
+	sent := func(units float64) int {
+		d := schooled(t, backends(2)...)
+		now := 121 * time.Second
+		cold := Backend{Name: "cold", Weight: 1, Started: now}
+		left := backends(2)
+		left[0].State, left[1].State = Terminating, Terminating
+		d.Step(now, []Event{List{Scope: Delta, Entries: append(left, cold)}})
+		n := 0
+		for i := range uint64(300) {
+			r := ask(5000+i, 0, 2)
+			r.Units = units
+			at := now + time.Duration(i)*5*ms
+			for _, s := range only[Send](d.Step(at, []Event{r})) {
+				n++
+				d.Step(at+ms, []Event{served(s, 0, ms)})
+			}
+		}
+		return n
+	}
+	if small, large := sent(1), sent(4); large == 0 || small < 2*large {
+		t.Errorf("a cold server is sent %d small and %d large requests in its first seconds; want far more small ones", small, large)
+	}
+}
