Gate, checks and verdicts: three hand-made heaps become the one queue there was

internal/pq was made for the emulator while gate, authz and verdict kept heaps of the same shape by hand; items lie in what is queued, so nothing more is allocated. pq had no test of its own: a property test holds it to a plain list (moves, removals, putting in twice). 50 lines fewer; the tests of the three packages pass under race. The loop's heap is on the platform's path and is measured apart.

--- a/internal/front/authz/authz_test.go
+++ b/internal/front/authz/authz_test.go
@@ -80,7 +80,7 @@
 
 // Grants whose end is awaited are bounded, end once, and are forgotten with their hold.
 func TestForwardAuthHolds(t *testing.T) {
-	h := holds{most: 3, byID: map[uint64]*held{}}
+	h := newHolds(3)
 	for i, id := range []uint64{1, 2, 3, 4} {
 		if ok := h.add(id, &core.Request{}, time.Duration(10+i), 0); ok != (i < 3) {
 			t.Errorf("%d: %v", id, ok)
@@ -89,7 +89,7 @@
 	if h.take(2, 1) == nil || h.take(2, 1) != nil || h.take(1, 10) != nil || h.take(3, 11) == nil {
 		t.Error("an end is taken twice, or after its hold")
 	}
-	if len(h.byID) != 0 || len(h.due) != 0 {
+	if len(h.byID) != 0 || h.due.Len() != 0 {
 		t.Errorf("%d are kept", len(h.byID))
 	}
 }
--- a/internal/front/authz/shared.go
+++ b/internal/front/authz/shared.go
@@ -1,7 +1,6 @@
 package authz
 
 import (
-	"container/heap"
 	"crypto/rand"
 	"encoding/hex"
 	"log/slog"
@@ -14,6 +13,7 @@
 
 	"snowhall/internal/account"
 	"snowhall/internal/core"
+	"snowhall/internal/pq"
 	"snowhall/internal/route"
 	"snowhall/internal/verdict"
 )
@@ -162,7 +162,7 @@
 	if err != nil {
 		panic(err) // the bounds were checked
 	}
-	p := &pool{core: c, s: s, memory: m, holds: holds{most: s.cfg.MostHolds, byID: map[uint64]*held{}}}
+	p := &pool{core: c, s: s, memory: m, holds: newHolds(s.cfg.MostHolds)}
 	p.table.Store(t)
 	next := maps.Clone(old)
 	next[c] = p
@@ -309,14 +309,18 @@
 type holds struct {
 	most int
 	byID map[uint64]*held
-	due  dueHeap
+	due  *pq.Queue[*held] // by when the module lets go
 }
 
 type held struct {
 	id    uint64
 	r     *core.Request
 	until time.Duration
-	spot  int
+	place pq.Item[*held]
+}
+
+func newHolds(most int) holds {
+	return holds{most, map[uint64]*held{}, pq.New(func(a, b *held) bool { return a.until < b.until })}
 }
 
 // add keeps a grant; false: there is no room, and only its hold will end it.
@@ -327,7 +331,8 @@
 	}
 	e := &held{id: id, r: r, until: until}
 	h.byID[id] = e
-	heap.Push(&h.due, e)
+	e.place.Value = e
+	h.due.Put(&e.place)
 	return true
 }
 
@@ -338,32 +343,12 @@
 		return nil
 	}
 	delete(h.byID, id)
-	heap.Remove(&h.due, e.spot)
+	h.due.Remove(&e.place)
 	return e.r
 }
 
 func (h *holds) expire(now time.Duration) {
-	for len(h.due) > 0 && h.due[0].until <= now {
-		delete(h.byID, heap.Pop(&h.due).(*held).id)
+	for h.due.Len() > 0 && h.due.First().Value.until <= now {
+		delete(h.byID, h.due.Pop().Value.id)
 	}
 }
-
-type dueHeap []*held
-
-func (h dueHeap) Len() int           { return len(h) }
-func (h dueHeap) Less(i, j int) bool { return h[i].until < h[j].until }
-func (h dueHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].spot, h[j].spot = i, j
-}
-func (h *dueHeap) Push(e any) {
-	e.(*held).spot = len(*h)
-	*h = append(*h, e.(*held))
-}
-func (h *dueHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return e
-}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,9 +5,10 @@
 package gate
 
 import (
-	"container/heap"
 	"sync"
 	"time"
+
+	"snowhall/internal/pq"
 )
 
 // Gate lets so many turns run at once. Any goroutine may use it.
@@ -18,11 +19,13 @@
 	v      float64       // virtual time: the start of the turn that was let in last
 	worked time.Duration // since a time
 	since  time.Time
-	queue  flows // those for which somebody waits, the least first
+	queue  *pq.Queue[*Flow] // those for which somebody waits, by virtual time
 }
 
 // New makes a gate for so many cores.
-func New(cores int) *Gate { return &Gate{slots: max(1, cores)} }
+func New(cores int) *Gate {
+	return &Gate{slots: max(1, cores), queue: pq.New(func(a, b *Flow) bool { return a.v < b.v })}
+}
 
 // Flow is one party to a Gate. A nil Flow lets everything in at once.
 type Flow struct {
@@ -30,14 +33,18 @@
 	weight  float64
 	v       float64 // where its next turn starts, in seconds over its weight
 	waiting []chan struct{}
-	spot    int // in the queue; -1: not there
+	place   pq.Item[*Flow] // in the queue
 	turns   uint64
 	waited  uint64
 	used    time.Duration
 }
 
 // Flow makes a party. Its weight, above 0, is to compare with the others'.
-func (g *Gate) Flow(weight float64) *Flow { return &Flow{g: g, weight: weight, spot: -1} }
+func (g *Gate) Flow(weight float64) *Flow {
+	f := &Flow{g: g, weight: weight}
+	f.place.Value = f
+	return f
+}
 
 // Enter waits for a turn and says when it began. The turn must be short, must not block, and ends with Leave.
 func (f *Flow) Enter() time.Time {
@@ -91,7 +98,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f.turns++
-	if f.spot < 0 {
+	if !f.place.In() {
 		f.v = max(f.v, g.v) // no credit for the time in which nothing was wanted
 	}
 	if g.busy < g.slots {
@@ -101,9 +108,8 @@
 	}
 	f.waited++
 	turn := make(chan struct{})
-	if f.waiting = append(f.waiting, turn); f.spot < 0 {
-		heap.Push(&g.queue, f)
-	}
+	f.waiting = append(f.waiting, turn)
+	g.queue.Put(&f.place)
 	return turn
 }
 
@@ -113,19 +119,18 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f.used += took
-	if f.v += took.Seconds() / f.weight; f.spot >= 0 {
-		heap.Fix(&g.queue, f.spot)
-	}
-	if len(g.queue) == 0 {
+	f.v += took.Seconds() / f.weight
+	g.queue.Moved(&f.place)
+	if g.queue.Len() == 0 {
 		g.busy--
 		return
 	}
-	next := g.queue[0]
+	next := g.queue.First().Value
 	turn := next.waiting[0]
 	next.waiting[0] = nil
 	if next.waiting = next.waiting[1:]; len(next.waiting) == 0 {
 		next.waiting = nil
-		heap.Pop(&g.queue)
+		g.queue.Pop()
 	}
 	g.v = max(g.v, next.v)
 	close(turn)
@@ -146,25 +151,3 @@
 	defer f.g.mu.Unlock()
 	return Figures{f.turns, f.waited, f.used}
 }
-
-// flows is a heap by virtual time.
-type flows []*Flow
-
-func (q flows) Len() int           { return len(q) }
-func (q flows) Less(i, j int) bool { return q[i].v < q[j].v }
-func (q flows) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].spot, q[j].spot = i, j
-}
-func (q *flows) Push(x any) {
-	x.(*Flow).spot = len(*q)
-	*q = append(*q, x.(*Flow))
-}
-func (q *flows) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	old[len(old)-1] = nil
-	*q = old[:len(old)-1]
-	x.spot = -1
-	return x
-}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -141,7 +141,7 @@
 		})
 	}
 	wg.Wait()
-	if f, h := a.Figures(), b.Figures(); f.Turns != 8001 || h.Turns != 8000 || g.busy != 0 || len(g.queue) != 0 {
+	if f, h := a.Figures(), b.Figures(); f.Turns != 8001 || h.Turns != 8000 || g.busy != 0 || g.queue.Len() != 0 {
 		t.Errorf("%+v %+v, %d busy", f, h, g.busy)
 	}
 }
--- /dev/null
+++ b/internal/pq/pq_test.go
@@ -0,0 +1,59 @@
+package pq
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever is put in, moved and taken out, the first is the least of what is in, and each item knows whether it is.
+func TestQueueAgainstAPlainList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(func(a, b *int) bool { return *a < *b })
+		in := map[*Item[*int]]bool{}
+		var all []*Item[*int]
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			v := rapid.IntRange(0, 20).Draw(t, "value")
+			var one *Item[*int]
+			if len(all) > 0 {
+				one = all[rapid.IntRange(0, len(all)-1).Draw(t, "item")]
+			}
+			switch what := rapid.IntRange(0, 4).Draw(t, "what"); {
+			case one == nil || what == 0:
+				one = q.Push(&v)
+				all, in[one] = append(all, one), true
+			case what == 1: // twice is as once
+				q.Put(one)
+				in[one] = true
+			case what == 2:
+				q.Remove(one)
+				delete(in, one)
+			case what == 3:
+				*one.Value = v
+				q.Moved(one)
+			case q.Len() > 0:
+				first := q.Pop()
+				for o := range in {
+					if *o.Value < *first.Value {
+						t.Fatalf("%d came before %d", *first.Value, *o.Value)
+					}
+				}
+				if !in[first] || first.In() {
+					t.Fatal("what came out was not in, or is still")
+				}
+				delete(in, first)
+			}
+			if q.Len() != len(in) || (q.First() == nil) != (len(in) == 0) {
+				t.Fatalf("%d items, want %d", q.Len(), len(in))
+			}
+			for _, o := range all {
+				if o.In() != in[o] {
+					t.Fatalf("an item says %v that it is in", o.In())
+				}
+				if in[o] && *o.Value < *q.First().Value {
+					t.Fatalf("%d is first, and %d is in", *q.First().Value, *o.Value)
+				}
+			}
+		}
+	})
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -11,9 +11,10 @@
 package verdict
 
 import (
-	"container/heap"
 	"errors"
 	"time"
+
+	"snowhall/internal/pq"
 )
 
 // Config bounds a Memory.
@@ -86,7 +87,7 @@
 	no    uint32
 	size  int
 	given ends
-	spot  int // in the heap of accounts by size
+	place pq.Item[*account] // among the accounts by size
 }
 
 // Figures count what a Memory did.
@@ -104,9 +105,9 @@
 	names   map[string]*account
 	numbers map[uint32]*account
 	lastNo  uint32
-	bySize  sizes
-	pages   [][]slot[V] // a page has pageSize slots and never moves, so growing costs no copy
-	made    int         // slots in pages, used or free
+	bySize  *pq.Queue[*account] // the one with most checks first
+	pages   [][]slot[V]         // a page has pageSize slots and never moves, so growing costs no copy
+	made    int                 // slots in pages, used or free
 	free    Entry
 	find    map[id]Entry
 	waiting map[Entry][]W // of the open ones that were asked again
@@ -121,7 +122,8 @@
 		return nil, err
 	}
 	return &Memory[V, W]{cfg: cfg, names: map[string]*account{}, numbers: map[uint32]*account{}, free: none,
-		find: map[id]Entry{}, waiting: map[Entry][]W{}, given: ends{none, none}}, nil
+		find: map[id]Entry{}, waiting: map[Entry][]W{}, given: ends{none, none},
+		bySize: pq.New(func(a, b *account) bool { return a.size > b.size })}, nil
 }
 
 // pageSize is how many slots are made at a time.
@@ -186,7 +188,8 @@
 		}
 		a = &account{name: name, no: m.lastNo, given: ends{none, none}}
 		m.names[name], m.numbers[a.no] = a, a
-		heap.Push(&m.bySize, a)
+		a.place.Value = a
+		m.bySize.Put(&a.place)
 	}
 	e := m.free
 	if e == none {
@@ -202,7 +205,7 @@
 	m.find[m.at(e).id] = e
 	m.size++
 	a.size++
-	heap.Fix(&m.bySize, a.spot)
+	m.bySize.Moved(&a.place)
 	return e, New
 }
 
@@ -214,7 +217,7 @@
 	if m.size < m.cfg.Most {
 		return true
 	}
-	largest := m.bySize[0]
+	largest := m.bySize.First().Value
 	if a != nil && a.size >= largest.size {
 		largest = a
 	}
@@ -292,12 +295,12 @@
 	m.size--
 	a.size--
 	if a.size == 0 {
-		heap.Remove(&m.bySize, a.spot)
+		m.bySize.Remove(&a.place)
 		delete(m.names, a.name)
 		delete(m.numbers, a.no)
 		return
 	}
-	heap.Fix(&m.bySize, a.spot)
+	m.bySize.Moved(&a.place)
 }
 
 // expire forgets what has been kept for its time. A verdict kept for less than the bound may stay a little longer in
@@ -307,24 +310,3 @@
 		m.forget(m.given.first)
 	}
 }
-
-// sizes is a heap of accounts, the one with most checks first.
-type sizes []*account
-
-func (s sizes) Len() int           { return len(s) }
-func (s sizes) Less(i, j int) bool { return s[i].size > s[j].size }
-func (s sizes) Swap(i, j int) {
-	s[i], s[j] = s[j], s[i]
-	s[i].spot, s[j].spot = i, j
-}
-func (s *sizes) Push(x any) {
-	x.(*account).spot = len(*s)
-	*s = append(*s, x.(*account))
-}
-func (s *sizes) Pop() any {
-	old := *s
-	x := old[len(old)-1]
-	old[len(old)-1] = nil
-	*s = old[:len(old)-1]
-	return x
-}
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -196,7 +196,7 @@
 				}
 				n += m.Of(a)
 			}
-			if n != m.Len() || n > cfg.Most || len(m.find) != n || m.made > cfg.Most || len(m.bySize) != len(m.names) ||
+			if n != m.Len() || n > cfg.Most || len(m.find) != n || m.made > cfg.Most || m.bySize.Len() != len(m.names) ||
 				len(m.names) != len(m.numbers) || len(m.waiting) > len(open) {
 				t.Fatalf("%d remembered; counted %d, %d found, %d slots", n, m.Len(), len(m.find), m.made)
 			}
