Control line with PING and INFO; figures counted in the core and published

A second listener answers one bounded line a connection; silent callers hold a bounded number of places. Requests, outcomes and attempts are counted in one place, as atomics that callers only read. A file read at SIGHUP counts as taken or turned down.

--- a/cmd/gapgap/main.go
+++ b/cmd/gapgap/main.go
@@ -55,10 +55,16 @@
 	if err != nil {
 		return err
 	}
+	var operators net.Listener
+	if cfg.Control != "" {
+		if operators, err = net.Listen("tcp", cfg.Control); err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+	}
 	ended := make(chan struct{})
 	defer close(ended)
 	go reload(hup, ended, f, log)
-	f.Serve(ctx, ln)
+	f.Serve(ctx, ln, operators)
 	return nil
 }
 
@@ -77,9 +83,11 @@
 		}
 		if err != nil {
 			log.Error("the new configuration is not used", "error", err)
+			f.Figures.Invalid.Add(1)
 			continue
 		}
 		f.Reload(cfg.Discovery, cfg.Counter)
+		f.Figures.Accepted.Add(1)
 	}
 }
 
@@ -90,7 +98,7 @@
 		return nil, err
 	}
 	for name, to := range map[string]*string{"NODE_NAME": &cfg.Name, "NODE_LISTEN": &cfg.Listen,
-		"NODE_DISCOVERY": &cfg.Discovery} {
+		"NODE_DISCOVERY": &cfg.Discovery, "NODE_CONTROL": &cfg.Control} {
 		if v := os.Getenv(name); v != "" {
 			*to = v
 		}
--- a/cmd/gapgap/main_test.go
+++ b/cmd/gapgap/main_test.go
@@ -24,7 +24,7 @@
 			t.Fatal(err)
 		}
 		t.Setenv("NODE_CONFIG", file)
-		for _, name := range []string{"NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"} {
+		for _, name := range []string{"NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_CONTROL"} {
 			t.Setenv(name, "")
 		}
 		if err := run(); err == nil || strings.Contains(err.Error(), "\n") {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 
 	"snowhall"
 	"snowhall/internal/budget"
+	"snowhall/internal/figures"
 	"snowhall/internal/gate"
 	"snowhall/internal/loop"
 	"snowhall/internal/membership"
@@ -31,7 +32,8 @@
 )
 
 const (
-	sweepEvery = time.Second
+	sweepEvery   = time.Second
+	publishEvery = 100 * time.Millisecond // for figures that only the module knows
 )
 
 // Upstream carries attempts and probes to backends.
@@ -87,10 +89,12 @@
 
 // Config is what a Core is made of beside its sides.
 type Config struct {
-	Name    string // of the pool
-	Classes []string
-	Plans   []string   // and classes: their names, in the order of the module's indices
-	Gate    *gate.Flow // the pool's way to the processor; nil: it has it alone
+	Name  string     // of the pool
+	Start Rules      // what holds at the start
+	Gate  *gate.Flow // the pool's way to the processor; nil: it has it alone
+
+	// Figures counts what becomes of requests; nil: figures of its own, which nobody reads.
+	Figures *figures.Figures
 
 	Memory  *budget.Bytes // what requests for the pool may hold; nil: the process's whole
 	Clients *budget.Group // the clients' connections that asked it last; nil: not told apart
@@ -100,11 +104,9 @@
 	Found func(snowhall.Finding)
 
 	// Observe takes each final answer and the time that it took; nil: nobody asks. The loop goroutine calls it.
-	Observe  func(class int, v Verdict, took time.Duration)
-	Trace    *trace.Log // what becomes of each request; nil: not written
-	Settings snowhall.Settings
-	Seed     uint64
-	MostOpen int // requests that may be open at once; 0: no bound
+	Observe func(class int, v Verdict, took time.Duration)
+	Trace   *trace.Log // what becomes of each request; nil: not written
+	Seed    uint64
 }
 
 // Core is one front door.
@@ -115,6 +117,7 @@
 	door   *snowhall.Door
 	events []snowhall.Event // for the next Step
 	ready  atomic.Bool      // a backend in service has been known, so requests can be served
+	rules  atomic.Pointer[Rules]
 
 	requests   map[uint64]*Request
 	open       map[string]bool // the clients' ids of requests without a final answer
@@ -159,12 +162,16 @@
 
 // New makes a core on a loop. It needs Connect before Run.
 func New(l *loop.Loop, cfg Config, log *slog.Logger) (*Core, error) {
-	door, err := snowhall.New(cfg.Settings, cfg.Seed)
+	door, err := snowhall.New(cfg.Start.Settings, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return &Core{Config: cfg, Loop: l, log: log, door: door, requests: map[uint64]*Request{},
-		open: map[string]bool{}}, nil
+	if cfg.Figures == nil {
+		cfg.Figures = figures.New()
+	}
+	c := &Core{Config: cfg, Loop: l, log: log, door: door, requests: map[uint64]*Request{}, open: map[string]bool{}}
+	c.rules.Store(cfg.Start.counted(cfg.Figures))
+	return c, nil
 }
 
 // Connect gives the core its sides, which tell it what happens by Tell and Listed.
@@ -201,6 +208,13 @@
 // Ready says whether a backend in service has been known. Any goroutine may call it.
 func (c *Core) Ready() bool { return c.ready.Load() }
 
+// publish tells what only the module knows.
+func (c *Core) publish() {
+	listed, avoided := c.door.Rotation()
+	c.Figures.Listed.Store(int64(listed))
+	c.Figures.Avoided.Store(int64(avoided))
+}
+
 // Run serves by the fronts until the context ends, then answers what was taken and returns.
 func (c *Core) Run(ctx context.Context, fronts ...Front) {
 	defer c.begin()()
@@ -229,7 +243,7 @@
 
 // begin starts the sides and makes the core able to serve. What it returns ends them.
 func (c *Core) begin() (end func()) {
-	c.Trace.Line("settings", "%s", strings.ReplaceAll(fmt.Sprintf("%+v", c.Settings), " ", ","))
+	c.Trace.Line("settings", "%s", strings.ReplaceAll(fmt.Sprintf("%+v", c.Rules().Settings), " ", ","))
 	c.membership.Known()
 	c.Step() // from here on it is able to serve
 	c.membership.Follow(c.membership.Addr())
@@ -237,6 +251,8 @@
 		c.upstream.Sweep()
 		c.counter.Sweep()
 	})
+	c.publish()
+	c.Every(publishEvery, c.publish)
 	return func() {
 		c.membership.Stop()
 		c.counter.Close()
@@ -303,7 +319,7 @@
 // Longest is the longest time that a client waits.
 func (c *Core) Longest() time.Duration {
 	most := time.Duration(0)
-	for _, cl := range c.Settings.Classes {
+	for _, cl := range c.Rules().Settings.Classes {
 		most = max(most, cl.GiveUp)
 	}
 	return most
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -44,7 +44,7 @@
 	t.Helper()
 	set := snowhall.Settings{Doors: 1, MaxAttempts: 2, Classes: []snowhall.Class{{Worth: 1, GiveUp: 30 * time.Second}},
 		Plans: []snowhall.Plan{{Factor: 1}}}
-	c, err := New(loop.New(), Config{Settings: set, MostOpen: 3}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c, err := New(loop.New(), Config{Start: Rules{Settings: set, MostOpen: 3}}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -138,7 +138,7 @@
 // outcome too. Without it the backend would count as holding it for ever, until it has no slot left.
 func TestClientLeavesAsItsRequestIsSent(t *testing.T) {
 	c, s := idle(t)
-	c.MostOpen = 0
+	c.Rules().MostOpen = 0
 	c.Listed(membership.Update{Scope: snowhall.Whole, Entries: []membership.Entry{{Backend: snowhall.Backend{Name: "s-0"}}}})
 	c.Step()
 	for range 30 {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"snowhall"
+	"snowhall/internal/figures"
 	"snowhall/internal/loop"
 	"snowhall/internal/trace"
 	"snowhall/internal/upstream"
@@ -59,6 +60,7 @@
 	Grant       bool          // it asks for leave only: Forward is never called, and the answer is Granted or Refused
 	Hold        time.Duration // how long a grant counts as under way where the plan bounds that, without Finish
 
+	count    *figures.Class // where it is counted
 	id       uint64
 	due      time.Duration // when the client gives up
 	overdue  *loop.Timer
@@ -95,15 +97,16 @@
 
 // Submit takes a request in, for which the core was acquired. Only the loop goroutine may call it.
 func (c *Core) Submit(r *Request) {
-	if c.MostOpen > 0 && len(c.requests)-len(c.leaving) >= c.MostOpen {
-		c.Release()
-		r.Caller.Answer(Answer{Verdict: Refused})
+	if r.count == nil {
+		c.Take(r)
+	}
+	if most := c.Rules().MostOpen; most > 0 && len(c.requests)-len(c.leaving) >= most {
+		c.decline(r, Refused)
 		return
 	}
 	if r.ID != "" {
 		if c.open[r.ID] { // not to be told what another request is answered
-			c.Release()
-			r.Caller.Answer(Answer{Verdict: Duplicate})
+			c.decline(r, Duplicate)
 			return
 		}
 		c.open[r.ID] = true
@@ -120,12 +123,20 @@
 		Left: max(0, r.due-c.Coarse()), Units: r.Units, Doors: r.Doors, Retry: r.Retry, Grant: r.Grant, Hold: r.Hold})
 }
 
+// decline answers a request that is not taken in.
+func (c *Core) decline(r *Request, v Verdict) {
+	c.Release()
+	r.count.Ended(v.outcome())
+	r.Caller.Answer(Answer{Verdict: v})
+}
+
 // watch sees to it that a request is answered in time. The module does that by its own timers; should it not, the client
 // still hears back.
 func (c *Core) watch(r *Request) {
 	r.overdue = c.At(r.due, func() {
 		c.log.Error("the module left a request unanswered", "id", r.id)
 		c.abandon(r)
+		r.count.Ended(figures.Faulted)
 		if c.Observe != nil {
 			c.Observe(r.Class, Overdue, c.Now()-r.At)
 		}
@@ -136,6 +147,7 @@
 // Gone ends the request of a client that has left. Only the loop goroutine may call it.
 func (c *Core) Gone(r *Request) {
 	if c.requests[r.id] == r && !r.ended {
+		c.Figures.Gone.Add(1)
 		c.abandon(r)
 	}
 }
@@ -170,6 +182,7 @@
 		a.Quota.Quota, a.Quota.Told = c.door.Quota(r.Customer)
 	}
 	c.leave(r)
+	r.count.Ended(a.Verdict.outcome())
 	took := c.Now() - r.At
 	if c.Observe != nil {
 		c.Observe(r.Class, a.Verdict, took)
@@ -209,7 +222,7 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	if r.ended || a.Until <= now || r.out > 1 && !c.Settings.SecondCopies {
+	if r.ended || a.Until <= now || r.out > 1 && !c.Rules().Settings.SecondCopies {
 		a.End(snowhall.Moot)
 		return
 	}
--- a/internal/front/authz/check.go
+++ b/internal/front/authz/check.go
@@ -199,7 +199,7 @@
 		return
 	}
 	o, ok := fr.decide(k)
-	a.acct, a.plans = k.acct, p.core.Settings.Plans
+	a.acct, a.plans = k.acct, p.core.Rules().Settings.Plans
 	switch {
 	case !ok || o.verdict != core.Granted && o.verdict != core.Refused:
 		a.undecided("core")
@@ -283,10 +283,10 @@
 		a.problem(http.StatusForbidden, "not-entitled", "The account has no plan here.")
 		return false
 	}
-	c.acct, a.acct, a.plans = acct, acct, p.core.Settings.Plans
+	c.acct, a.acct, a.plans = acct, acct, p.core.Rules().Settings.Plans
 	class, units, ok := table.Match(c.query.Host, tg.method, c.query.Path)
 	if !ok && rt.DefaultClass != "" {
-		class, units = slices.Index(p.core.Classes, rt.DefaultClass), 1
+		class, units = slices.Index(p.core.Rules().Classes, rt.DefaultClass), 1
 		ok = class >= 0
 	}
 	if !ok || !acct.Entitled(class) {
--- a/internal/front/resp2/client.go
+++ b/internal/front/resp2/client.go
@@ -156,6 +156,7 @@
 		a.conn = c
 		cost := int64(len(m.Raw)) + askCost
 		if !c.mem.Take(cost) { // the reader alone changes mem
+			pool.TurnAway(&a.Request)
 			pool.Release()
 			return c.reply(string(busyAnswer(comeBack)))
 		}
@@ -163,6 +164,7 @@
 			pool.Release()
 			return false
 		}
+		pool.Take(&a.Request)
 		pool.Post(func() { pool.Submit(&a.Request) })
 		return true
 	}
--- a/internal/front/resp2/request.go
+++ b/internal/front/resp2/request.go
@@ -76,6 +76,7 @@
 	a := &ask{pool: pool, args: args, list: 3}
 	a.Caller, a.ID, a.At = a, string(args[2]), fr.env.Now()
 	a.Class, a.Plan, a.Customer = -1, -1, strings.ToLower(string(args[1]))
+	rules := pool.Rules()
 	key, first := false, false
 	var seen [16]string
 	fields := seen[:0]
@@ -89,10 +90,10 @@
 		ok := true
 		switch k {
 		case "c":
-			a.Class = slices.Index(pool.Classes, v)
+			a.Class = slices.Index(rules.Classes, v)
 			ok = a.Class >= 0
 		case "t":
-			a.Plan = slices.Index(pool.Plans, v)
+			a.Plan = slices.Index(rules.Plans, v)
 			ok = a.Plan >= 0
 		case "d":
 			ms, err := strconv.ParseUint(v, 10, 31)
@@ -107,14 +108,14 @@
 			ok = v == "1" || v == "0"
 		case "units":
 			a.Units, ok = resp.Decimal(v)
-			ok = ok && a.Units > 0 && a.Units <= cmp.Or(pool.Settings.MaxUnits, 1e9)
+			ok = ok && a.Units > 0 && a.Units <= cmp.Or(rules.Settings.MaxUnits, 1e9)
 		case "spread":
 			n, err := strconv.ParseUint(v, 10, 31)
-			ok = err == nil && n > 0 && int(n) <= pool.Settings.Doors
+			ok = err == nil && n > 0 && int(n) <= rules.Settings.Doors
 			a.Doors = int(n)
 		case "first":
 			n, err := strconv.ParseUint(v, 10, 31)
-			ok = err == nil && int(n) < pool.Settings.Doors
+			ok = err == nil && int(n) < rules.Settings.Doors
 			first = true
 		}
 		if !ok {
@@ -130,7 +131,7 @@
 		return nil, err
 	}
 	// A request and its timers are kept for as long as the client says that it waits.
-	class := &pool.Settings.Classes[a.Class]
+	class := &rules.Settings.Classes[a.Class]
 	if class.GiveUp > 0 && a.Wait > class.GiveUp+lateAsk {
 		return nil, errors.New("ill-formed or unknown d")
 	}
--- /dev/null
+++ b/internal/service/calls.go
@@ -0,0 +1,27 @@
+package service
+
+import (
+	"bytes"
+	"errors"
+)
+
+// calls are what operators' calls do at a platform's front door. Any goroutine may call it.
+type calls struct{ p *Platform }
+
+// Ready implements [control.Service].
+func (c calls) Ready() error {
+	switch {
+	case !c.p.listening.Load():
+		return errors.New("clients' connections are not taken yet")
+	case !c.p.Ready():
+		return errors.New("no backend is known yet")
+	}
+	return nil
+}
+
+// Figures implements [control.Service].
+func (c calls) Figures() []byte {
+	var b bytes.Buffer
+	c.p.Core.Figures.Write(&b)
+	return b.Bytes()
+}
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -19,6 +19,7 @@
 type Config struct {
 	Name      string
 	Listen    string // where clients connect
+	Control   string // where operators call; empty: nowhere
 	Discovery string
 	Counter   string // empty where there is none
 	Seed      uint64
@@ -33,8 +34,8 @@
 // ReadConfig reads the JSON form of a Config.
 func ReadConfig(r io.Reader) (*Config, error) {
 	var raw struct {
-		Name, Listen, Discovery, Counter, Seed string
-		Limits                                 struct {
+		Name, Listen, Control, Discovery, Counter, Seed string
+		Limits                                          struct {
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
 		}
@@ -46,7 +47,7 @@
 	if err := dec.Decode(&raw); err != nil {
 		return nil, fmt.Errorf("not the expected JSON: %w", err)
 	}
-	c := &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Counter: raw.Counter,
+	c := &Config{Name: raw.Name, Listen: raw.Listen, Control: raw.Control, Discovery: raw.Discovery, Counter: raw.Counter,
 		MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets, Known: raw.Known}
 	var err error
 	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
@@ -67,8 +68,8 @@
 // name addresses too.
 func (c *Config) Check() error {
 	for _, a := range []struct{ what, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery},
-		{"counter", c.Counter}} {
-		if a.addr == "" && a.what == "counter" && !c.Settings.Counter {
+		{"counter", c.Counter}, {"control", c.Control}} {
+		if a.addr == "" && (a.what == "counter" && !c.Settings.Counter || a.what == "control") {
 			continue
 		}
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -5,12 +5,15 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"snowhall"
 	"snowhall/internal/budget"
 	"snowhall/internal/core"
 	"snowhall/internal/counter"
+	"snowhall/internal/figures"
+	"snowhall/internal/front/control"
 	"snowhall/internal/front/resp2"
 	"snowhall/internal/gate"
 	"snowhall/internal/loop"
@@ -41,6 +44,7 @@
 	Found   func(*core.Core) func(snowhall.Finding)  // makes the way of what the core finds out; nil: nowhere
 	Gate    *gate.Flow                               // to the processor
 	Observe func(class int, v core.Verdict, took time.Duration)
+	Figures *figures.Figures // nil: nobody reads them
 	Memory  *budget.Bytes
 	Clients *budget.Group
 	Places  func(*core.Core) *budget.Party              // of the sockets for backends
@@ -55,8 +59,8 @@
 		tr = trace.New(cfg.Trace, l.Now)
 	}
 	c, err := core.New(l, core.Config{Trace: tr, Name: cfg.Name, Gate: parts.Gate, Memory: parts.Memory, Clients: parts.Clients, Observe: parts.Observe,
-		Classes: cfg.Transport.Classes, Plans: cfg.Transport.Plans,
-		Settings: cfg.Settings, Seed: cfg.Seed, MostOpen: cfg.Transport.MostOpen}, log)
+		Start: core.Rules{Classes: cfg.Transport.Classes, Plans: cfg.Transport.Plans, Settings: cfg.Settings,
+			MostOpen: cfg.Transport.MostOpen}, Seed: cfg.Seed, Figures: parts.Figures}, log)
 	if err != nil {
 		return nil, err
 	}
@@ -68,6 +72,7 @@
 		c.Found = parts.Found(c)
 	}
 	up := upstream.Config{Most: max(1, BackendSockets(cfg.Sockets)), DialTimeout: cfg.Transport.DialTimeout, Idle: cfg.Transport.ConnIdle, Trace: tr}
+	up.Written = c.Figures.Relayed.Add
 	up.Values = budget.NewBytes(ClientMemory(cfg.MemoryMB) / 2)
 	if parts.Places != nil {
 		up.Places = parts.Places(c)
@@ -108,23 +113,31 @@
 // Platform is the lean front door that the platform runs: one core, one RESP2 listener.
 type Platform struct {
 	*core.Core
-	env *core.Env
-	cfg *Config
-	log *slog.Logger
+	env       *core.Env
+	cfg       *Config
+	log       *slog.Logger
+	listening atomic.Bool // clients' connections are taken
 }
 
 // NewPlatform makes one. It takes no connection before Serve.
 func NewPlatform(cfg *Config, log *slog.Logger) (*Platform, error) {
 	l := loop.New()
-	c, err := NewCore(l, cfg, Parts{}, log)
+	c, err := NewCore(l, cfg, Parts{Figures: figures.New()}, log)
 	if err != nil {
 		return nil, err
 	}
-	return &Platform{c, NewEnv(l, cfg.MemoryMB, cfg.Sockets, c), cfg, log}, nil
+	return &Platform{Core: c, env: NewEnv(l, cfg.MemoryMB, cfg.Sockets, c), cfg: cfg, log: log}, nil
 }
 
-// Serve serves what connects to the listener until the context ends, then answers what was taken and returns.
-func (p *Platform) Serve(ctx context.Context, ln net.Listener) {
+// Serve serves what connects to the listener until the context ends, then answers what was taken and returns. Operators call
+// at the other listener; nil: nowhere.
+func (p *Platform) Serve(ctx context.Context, ln, operators net.Listener) {
 	p.log.Info("serving", "listen", ln.Addr(), "backends", len(p.cfg.Known.Endpoints))
+	if operators != nil {
+		f := control.New(operators, calls{p}, p.log)
+		f.Serve()
+		defer f.Close()
+	}
+	p.listening.Store(true)
 	p.Run(ctx, resp2.New(p.env, resp2.Config{}, ln, p.log))
 }
--- a/internal/service/world_test.go
+++ b/internal/service/world_test.go
@@ -58,7 +58,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ln := peer.Listen(t)
 	w.p, w.addr, w.stop = p, ln.Addr().String(), stop
-	go p.Serve(ctx, ln)
+	go p.Serve(ctx, ln, nil)
 	t.Cleanup(func() {
 		stop()
 		<-p.Done()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -73,9 +73,11 @@
 	DialTimeout time.Duration // for a connection to come up
 	Idle        time.Duration // backends close a connection that has been idle for this long; 0: never
 
-	Trace  *trace.Log
-	Values *budget.Bytes // for what long answers hold while they come in; nil: unbounded
-	Places *budget.Party // of the connections that a process with several pools may have; nil: Most alone holds
+	Trace *trace.Log
+	// Written is told of each attempt whose last byte is written, by any goroutine; nil: nobody asks.
+	Written func(uint64) uint64
+	Values  *budget.Bytes // for what long answers hold while they come in; nil: unbounded
+	Places  *budget.Party // of the connections that a process with several pools may have; nil: Most alone holds
 	// Cap joins a server's bound on connections, which pools share; nil: none is known.
 	Cap func(addr string) *budget.Cap
 }
@@ -503,8 +505,9 @@
 // hold up the loop. The loop closes the connection when the time is up.
 func (c *conn) start() {
 	var b []byte
+	attempt := c.attempt != nil
 	switch {
-	case c.attempt != nil:
+	case attempt:
 		b = c.attempt.Owner.Command(c.attempt.Until - c.p.l.Now())
 	case c.probe != nil:
 		b = []byte("*1\r\n$4\r\nPING\r\n")
@@ -515,18 +518,21 @@
 	c.sent.Store(sending)
 	n, err := sock.WriteNow(c.nc, b)
 	if n == len(b) || err != nil {
-		c.wrote(err)
+		c.wrote(attempt, err)
 		return
 	}
 	nc := c.nc
 	go func() {
 		_, err := nc.Write(b[n:])
-		c.wrote(err)
+		c.wrote(attempt, err)
 	}()
 }
 
 // wrote notes how the writing of a command ended.
-func (c *conn) wrote(err error) {
+func (c *conn) wrote(attempt bool, err error) {
+	if err == nil && attempt && c.p.cfg.Written != nil {
+		c.p.cfg.Written(1)
+	}
 	if err != nil {
 		c.sent.Store(cut)
 		c.nc.Close() // so its reader ends, if it has not
--- a/state.go
+++ b/state.go
@@ -498,6 +498,19 @@
 	}
 }
 
+// Rotation tells how many backends the list has, and how many of them this door avoids now.
+func (d *Door) Rotation() (listed, avoided int) {
+	for _, s := range d.ring {
+		if s.listed {
+			listed++
+			if s.ejected {
+				avoided++
+			}
+		}
+	}
+	return listed, avoided
+}
+
 // prune forgets servers that are gone and owe no outcome.
 func (d *Door) prune() {
 	kept := d.ring[:0:0]
