--- a/internal/front/control/control.go
+++ b/internal/front/control/control.go
@@ -29,8 +29,8 @@
 
 // Service is what calls do. Any goroutine may call it. An error is told to the caller as the reason of a NO.
 type Service interface {
-	Ready() error                                     // why this process can't serve; nil: it can
-	Figures() []byte                                  // a line each
+	Ready() error    // why this process can't serve; nil: it can
+	Figures() []byte // a line each
 }
 
 // Front is the listener and its callers.
