--- a/api.go
+++ b/api.go
@@ -37,6 +37,7 @@
 	Group     Group         // for Keyed
 	Window    time.Duration // for Keyed: how long repeats are dropped, from the first send that may have run
 	Stream    bool          // the answer is a stream; see FirstByte
+	Dropped   bool          // offered no more; see Retune
 }
 
 // Plan describes the quota of each customer on it, over all doors together.
@@ -202,6 +203,13 @@
 	Status  Status
 }
 
+// Retune brings other settings. Classes and plans are numbered on: there are as many as before or more, and a number stands for
+// another class only if no request of the old one is open or may still come. The settings must hold by Check.
+type Retune struct {
+	Settings Settings
+	From     []int // by class, the number of the one whose evidence it goes on with: mostly its own; negative: none
+}
+
 // Message is a message from another door. The module passes it over.
 type Message struct{ From int }
 
@@ -215,6 +223,7 @@
 func (List) event()      {}
 func (Probed) event()    {}
 func (Message) event()   {}
+func (Retune) event()    {}
 
 // Action is something the caller must do: one of the types below that name it.
 type Action interface{ action() }
--- a/causes_test.go
+++ b/causes_test.go
@@ -29,8 +29,8 @@
 			d.Step(now+took, []Event{served(s, 0, took)})
 		}
 	}
-	if d.floor[0] < 0.06 {
-		t.Errorf("an idle fleet is taken to answer in %.0f ms; all but the first answer took 80", 1000*d.floor[0])
+	if d.learned[0].floor < 0.06 {
+		t.Errorf("an idle fleet is taken to answer in %.0f ms; all but the first answer took 80", 1000*d.learned[0].floor)
 	}
 }
 
--- a/cmd/gapgap/main.go
+++ b/cmd/gapgap/main.go
@@ -69,7 +69,7 @@
 }
 
 // reload reads the file again at each signal. The file now goes before the environment, which tells what held at
-// the start; only the addresses of discovery and the counter change.
+// the start.
 func reload(hup <-chan os.Signal, ended <-chan struct{}, f *service.Platform, log *slog.Logger) {
 	for {
 		select {
@@ -79,15 +79,13 @@
 		}
 		cfg, err := readFile()
 		if err == nil {
-			err = cfg.Check()
+			err = f.Reload(cfg)
+		} else {
+			f.Figures.Invalid.Add(1)
 		}
 		if err != nil {
 			log.Error("the new configuration is not used", "error", err)
-			f.Figures.Invalid.Add(1)
-			continue
 		}
-		f.Reload(cfg.Discovery, cfg.Counter)
-		f.Figures.Accepted.Add(1)
 	}
 }
 
--- a/cmd/gapgap/main_test.go
+++ b/cmd/gapgap/main_test.go
@@ -62,7 +62,7 @@
 	write := func(discovery string) {
 		t.Helper()
 		text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1","settings":{"peers-total":1,`+
-			`"limits":{"max-attempts":1,"dial-timeout-us":1000},"classes":[{"name":"a"}],"tiers-of-service":[{"name":"b"}]}}`, discovery)
+			`"limits":{"max-attempts":1,"dial-timeout-us":1000},"classes":[{"name":"a","give-up-us":1000000}],"tiers-of-service":[{"name":"b"}]}}`, discovery)
 		if err := os.WriteFile(file+".new", []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/door.go
+++ b/door.go
@@ -102,13 +102,6 @@
 	if d.set.Counter {
 		d.callShare = 1
 	}
-	for i, c := range d.set.Classes {
-		d.base[i] = max(0.001, cmp.Or(c.Aim, c.GiveUp).Seconds()*priorShare)
-		for _, p := range d.set.Plans {
-			d.bestWorth = max(d.bestWorth, c.Worth)
-			d.topWorth = max(d.topWorth, c.Worth*p.Factor)
-		}
-	}
 	d.act(SetTimer{d.now + tick, 0})
 	if d.set.OnRequest {
 		d.act(Watch{})
@@ -127,16 +120,16 @@
 	}
 	cl := &d.set.Classes[ev.Class]
 	r := &request{id: ev.ID, class: ev.Class, plan: ev.Plan, units: max(0, ev.Units), at: d.now, tau: ev.Left,
-		retry: ev.Retry, grant: ev.Grant, hold: ev.Hold}
+		most: d.set.MaxAttempts, retry: ev.Retry, grant: ev.Grant, hold: ev.Hold}
 	if cl.LateWorth == 0 && cl.Aim > 0 {
 		r.tau = min(r.tau, cl.Aim)
 	}
 	// What a door finds after it stood still has waited: first tries of a class have the same time at first.
-	d.mostLeft[ev.Class] = max(d.mostLeft[ev.Class], ev.Left)
+	d.learned[ev.Class].mostLeft = max(d.learned[ev.Class].mostLeft, ev.Left)
 	if d.now-d.lastAt > stalled && !ev.Retry {
-		r.tau = min(r.tau, cl.Aim-min(d.now-d.lastAt, d.mostLeft[ev.Class]-ev.Left))
+		r.tau = min(r.tau, cl.Aim-min(d.now-d.lastAt, d.learned[ev.Class].mostLeft-ev.Left))
 	}
-	r.c, r.size = d.customer(ev), d.sizes[ev.Class].Of(ev.Units)
+	r.c, r.size = d.customer(ev), d.learned[ev.Class].size.Of(ev.Units)
 	d.reqs[r.id] = r
 	if r.tau.Seconds() <= d.latency(r, nil)/2 {
 		d.refuse(r, 0, TooLate)
@@ -248,7 +241,7 @@
 		}
 		return wait
 	}
-	worth := max(1e-9, d.set.Classes[r.class].Worth*p.Factor*d.sizes[r.class].Density(r.units))
+	worth := max(1e-9, d.set.Classes[r.class].Worth*p.Factor*d.learned[r.class].size.Density(r.units))
 	band := min(bands-1, max(0, int(steps*math.Log2(d.topWorth/worth))))
 	r.level = band
 	if p.Rate > 0 {
@@ -578,9 +571,9 @@
 		return 0
 	}
 	if s != nil {
-		return d.base[r.class] * r.size * s.slow
+		return d.learned[r.class].base * r.size * s.slow
 	}
-	return d.base[r.class] * r.size
+	return d.learned[r.class].base * r.size
 }
 
 // thin says from 0 to 1 how little a door learns of one server by its own sends.
@@ -691,8 +684,8 @@
 		return true // a free place is needed for more than this soon
 	}
 	if free { // with many doors the queue is inside the servers, and latency tells of it (a departure)
-		lat := d.base[r.class] * max(1, d.fleet) * r.size
-		idle := cmp.Or(d.floor[r.class]*r.size, lat)
+		lat := d.learned[r.class].base * max(1, d.fleet) * r.size
+		idle := cmp.Or(d.learned[r.class].floor*r.size, lat)
 		part := (lat - idle) / max(1e-3, r.tau.Seconds()*margin-idle) *
 			(1 + thinSlope*float64(r.level)/lowest)
 		return d.rng.Float64() < min(1, 2*d.thin())*min(thinMost, (part-thinFrom)/(thinAll-thinFrom))
@@ -704,7 +697,7 @@
 	for l := 0; l <= r.level; l++ {
 		ahead += s.work[l]
 	}
-	lat := d.base[r.class] * s.slow
+	lat := d.learned[r.class].base * s.slow
 	share := joins * math.Pow(1-float64(r.level)/(2*bands), 2) // the lower the level, the sooner
 	return (d.now-r.at).Seconds()+ahead*lat/s.slots+d.latency(r, s) >= r.tau.Seconds()*margin*share
 }
@@ -757,7 +750,8 @@
 		}
 		r := from.head(l)
 		sum += from.work[l]
-		if best != nil && (sum+to.load)*d.base[r.class]*to.slow/to.slots >= r.tau.Seconds()*margin*patience {
+		ahead := (sum + to.load) * d.learned[r.class].base * to.slow / to.slots
+		if best != nil && ahead >= r.tau.Seconds()*margin*patience {
 			break
 		}
 		if (best == nil || r.at < best.at) && d.mayRepeat(r, to) {
@@ -802,7 +796,7 @@
 	case !s.listed: // drain: nothing new from the moment it is told
 		d.place(r)
 		return
-	case r.out > 0 || len(r.attempts) >= d.set.MaxAttempts || !d.mayRepeat(r, s) || d.now >= r.at+r.tau:
+	case r.out > 0 || len(r.attempts) >= r.most || !d.mayRepeat(r, s) || d.now >= r.at+r.tau:
 		d.refuse(r, 0, Stale)
 		return
 	}
@@ -866,7 +860,7 @@
 
 // retry sends a request on again where its class allows it and an answer could still be in time.
 func (d *Door) retry(r *request) {
-	if len(r.attempts) >= d.set.MaxAttempts || (d.now-r.at).Seconds()+d.latency(r, nil) >= r.tau.Seconds() {
+	if len(r.attempts) >= r.most || (d.now-r.at).Seconds()+d.latency(r, nil) >= r.tau.Seconds() {
 		d.refuse(r, 0, NoRetry)
 		return
 	}
@@ -875,8 +869,9 @@
 
 // learn takes what an outcome tells of a server: latency, slots, signs of life.
 func (d *Door) learn(s *server, a *attempt, ev Outcome) {
-	class, took := a.r.class, max(1e-3, ev.Latency.Seconds()) // within a tick counts as a millisecond
-	ratio := min(took/(d.base[class]*a.r.size), 8)            // one costly request says little of its server
+	k := &d.learned[a.r.class]
+	took := max(1e-3, ev.Latency.Seconds()) // within a tick counts as a millisecond
+	ratio := min(took/(k.base*a.r.size), 8) // one costly request says little of its server
 	news := min(ratio, fleetWorst)
 	if ev.Status == OK || ev.Status == Full || ev.Status == Timeout && !s.ejected {
 		if ev.Status == Full {
@@ -916,13 +911,13 @@
 		if !s.cold {
 			d.rateAdd(a.r.size)
 		}
-		d.answers[class]++
-		d.sizes[class].Add(a.r.units, took/d.base[class], true)
-		d.base[class] += max(baseGain, 1/float64(d.answers[class])) * (took/a.r.size - d.base[class])
+		k.answers++
+		k.size.Add(a.r.units, took/k.base, true)
+		k.base += max(baseGain, 1/float64(k.answers)) * (took/a.r.size - k.base)
 		d.pace(s, a.r)
 	}
 	if !s.ejected && (ev.Status == Timeout || ev.Status == Cancelled && d.now >= a.r.at+a.r.tau-tick) {
-		d.sizes[class].Add(a.r.units, took/d.base[class], false)
+		k.size.Add(a.r.units, took/k.base, false)
 	}
 	if a.trial && s.ejected {
 		d.nextTrial(s)
@@ -940,14 +935,14 @@
 // the class's mean down at once, and up only while so few slots are open that waiting can't be the cause: so
 // a slowness of everything is told from overload.
 func (d *Door) pace(s *server, r *request) {
-	floor := &d.floor[r.class]
-	if d.base[r.class] < *floor || d.answers[r.class] <= floorAfter { // the first few may be small or lucky ones
-		*floor = d.base[r.class]
+	k := &d.learned[r.class]
+	if k.base < k.floor || k.answers <= floorAfter { // the first few may be small or lucky ones
+		k.floor = k.base
 	} else if s.slots*float64(d.set.Doors) <= squeezed {
-		*floor += floorGain * (d.base[r.class] - *floor)
+		k.floor += floorGain * (k.base - k.floor)
 	}
-	high := min(r.tau.Seconds()*margin*shrinkAbove, shrinkRatio**floor)
-	switch lat := d.base[r.class] * s.slow; {
+	high := min(r.tau.Seconds()*margin*shrinkAbove, shrinkRatio*k.floor)
+	switch lat := k.base * s.slow; {
 	case lat > high && s.slots*float64(d.set.Doors) > 0.7*squeezed:
 		s.slots *= shrinkBy
 	case lat < high*growShare && s.load+1 >= math.Floor(s.slots):
@@ -1097,7 +1092,7 @@
 
 // trialServer gives an ejected server one safe request with time for another attempt, without probes.
 func (d *Door) trialServer(r *request) *server {
-	if d.set.MayProbe || d.set.Classes[r.class].Effect != Safe || len(r.attempts) > 0 || d.set.MaxAttempts < 2 ||
+	if d.set.MayProbe || d.set.Classes[r.class].Effect != Safe || len(r.attempts) > 0 || r.most < 2 ||
 		r.tau.Seconds() < trialRoom*d.latency(r, nil) {
 		return nil
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -33,6 +35,7 @@
 
 const (
 	sweepEvery   = time.Second
+	dropMargin   = 2 * time.Second        // beyond the longest wait, until the number of a dropped class stands for another
 	publishEvery = 100 * time.Millisecond // for figures that only the module knows
 )
 
@@ -120,9 +123,10 @@
 	rules  atomic.Pointer[Rules]
 
 	requests   map[uint64]*Request
-	open       map[string]bool // the clients' ids of requests without a final answer
-	grants     []*Request      // taken since the last Step
-	leaving    []*Request      // the Door is to hear with the next Step that their clients have left
+	open       map[string]bool       // the clients' ids of requests without a final answer
+	grants     []*Request            // taken since the last Step
+	dropped    map[int]time.Duration // numbers of classes that clients can't name any more, since when
+	leaving    []*Request            // the Door is to hear with the next Step that their clients have left
 	lastID     uint64
 	upstream   Upstream
 	counter    Counter
@@ -169,8 +173,9 @@
 	if cfg.Figures == nil {
 		cfg.Figures = figures.New()
 	}
-	c := &Core{Config: cfg, Loop: l, log: log, door: door, requests: map[uint64]*Request{}, open: map[string]bool{}}
-	c.rules.Store(cfg.Start.counted(cfg.Figures))
+	c := &Core{Config: cfg, Loop: l, log: log, door: door, requests: map[uint64]*Request{}, open: map[string]bool{},
+		dropped: map[int]time.Duration{}}
+	c.rules.Store(cfg.Start.counted(cfg.Figures, nil))
 	return c, nil
 }
 
@@ -261,8 +266,17 @@
 	}
 }
 
-// Reload moves to other addresses of discovery and the counter, from any goroutine.
-func (c *Core) Reload(discovery, counter string) {
+// Retune takes other rules, from any goroutine. It returns an error and changes nothing if the module can't go by them.
+func (c *Core) Retune(rules Rules) error {
+	if err := rules.Settings.Check(); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	c.Post(func() { c.retune(rules) })
+	return nil
+}
+
+// Move goes to other addresses of discovery and the counter, from any goroutine.
+func (c *Core) Move(discovery, counter string) {
 	c.Post(func() {
 		if discovery != c.membership.Addr() {
 			c.membership.Follow(discovery)
@@ -274,6 +288,25 @@
 	})
 }
 
+// retune takes other rules: requests that are read from here on go by them.
+func (c *Core) retune(rules Rules) {
+	before, now := c.Rules(), c.Now()
+	next, from := before.Next(rules, func(n int) bool {
+		since, ok := c.dropped[n]
+		return ok && now-since > c.Longest()+dropMargin && !slices.ContainsFunc(slices.Collect(maps.Values(c.requests)),
+			func(r *Request) bool { return r.Class == n })
+	})
+	for i, name := range next.Classes {
+		if _, ok := c.dropped[i]; name != "" {
+			delete(c.dropped, i)
+		} else if !ok {
+			c.dropped[i] = now
+		}
+	}
+	c.Tell(snowhall.Retune{Settings: next.Settings, From: from})
+	c.rules.Store(next.counted(c.Figures, before))
+}
+
 // loop runs tasks, due timers and Steps until a shutdown is complete.
 func (c *Core) loop(ctx context.Context, fronts []Front) {
 	term := ctx.Done()
--- a/internal/core/rules.go
+++ b/internal/core/rules.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"snowhall"
 	"snowhall/internal/figures"
 )
@@ -16,15 +18,19 @@
 	counts []*figures.Class // by the module's indices
 }
 
-// counted gives rules the places where their classes are counted. One without a name is counted among the others.
-func (r Rules) counted(f *figures.Figures) *Rules {
+// counted gives rules the places where their classes are counted. One without a name is counted where it was under the rules
+// before, or among the others.
+func (r Rules) counted(f *figures.Figures, before *Rules) *Rules {
 	r.counts = make([]*figures.Class, len(r.Settings.Classes))
 	for i := range r.counts {
-		name := figures.Others
-		if i < len(r.Classes) && r.Classes[i] != "" {
-			name = r.Classes[i]
+		switch {
+		case i < len(r.Classes) && r.Classes[i] != "":
+			r.counts[i] = f.Class(r.Classes[i])
+		case before != nil && i < len(before.counts):
+			r.counts[i] = before.counts[i]
+		default:
+			r.counts[i] = f.Class(figures.Others)
 		}
-		r.counts[i] = f.Class(name)
 	}
 	return &r
 }
@@ -32,6 +38,16 @@
 // Rules are those that hold now. Any goroutine may call it.
 func (c *Core) Rules() *Rules { return c.rules.Load() }
 
+// spare finds a number that was dropped before and may be used again; negative: there is none.
+func (r *Rules) spare(taken []string, free func(int) bool) int {
+	for i, name := range r.Classes {
+		if name == "" && taken[i] == "" && free(i) {
+			return i
+		}
+	}
+	return -1
+}
+
 // Take counts a request as taken, before it is handed over by Submit. Whoever read it calls it, so that those that wait for
 // the loop count too; Submit does it for those that were not.
 func (c *Core) Take(r *Request) {
@@ -55,3 +71,46 @@
 	}
 	return figures.Faulted
 }
+
+// Next makes the rules that follow others: the new settings, whose classes and plans are named as listed, with the numbers
+// that requests may still hold. A class that is as it was keeps its number; one that is dropped or changed keeps it too,
+// for the requests that came under it, and clients can't name it any more. free says which numbers may be used again.
+// from is for [snowhall.Retune].
+func (r *Rules) Next(now Rules, free func(number int) bool) (next Rules, from []int) {
+	next = now
+	next.Classes = append([]string(nil), r.Classes...)
+	next.Settings.Classes = append([]snowhall.Class(nil), r.Settings.Classes...)
+	from = make([]int, len(next.Classes))
+	for i := range from {
+		from[i] = i
+		next.Classes[i], next.Settings.Classes[i].Dropped = "", true
+	}
+	for j, name := range now.Classes {
+		def := now.Settings.Classes[j]
+		old := slices.Index(r.Classes, name) // what it was under this name, if anything
+		at := old
+		if old < 0 || r.Settings.Classes[old] != def {
+			if at = r.spare(next.Classes, free); at < 0 {
+				at = len(next.Classes)
+				next.Classes, next.Settings.Classes = append(next.Classes, ""), append(next.Settings.Classes, snowhall.Class{})
+				from = append(from, -1)
+			}
+			from[at] = old
+		}
+		next.Classes[at], next.Settings.Classes[at] = name, def
+	}
+	next.Plans = append([]string(nil), r.Plans...)
+	next.Settings.Plans = append([]snowhall.Plan(nil), r.Settings.Plans...)
+	for i := range next.Plans {
+		next.Plans[i] = ""
+	}
+	for j, name := range now.Plans {
+		at := slices.Index(r.Plans, name)
+		if at < 0 {
+			at = len(next.Plans)
+			next.Plans, next.Settings.Plans = append(next.Plans, ""), append(next.Settings.Plans, snowhall.Plan{})
+		}
+		next.Plans[at], next.Settings.Plans[at] = name, now.Settings.Plans[j]
+	}
+	return next, from
+}
--- a/internal/front/resp2/request.go
+++ b/internal/front/resp2/request.go
@@ -91,10 +91,10 @@
 		switch k {
 		case "c":
 			a.Class = slices.Index(rules.Classes, v)
-			ok = a.Class >= 0
+			ok = a.Class >= 0 && v != ""
 		case "t":
 			a.Plan = slices.Index(rules.Plans, v)
-			ok = a.Plan >= 0
+			ok = a.Plan >= 0 && v != ""
 		case "d":
 			ms, err := strconv.ParseUint(v, 10, 31)
 			ok = err == nil && ms > 0
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -29,8 +29,12 @@
 	Transport wire.Transport
 	Known     discovery.Members // the list of backends as last had, maybe old
 	Trace     io.Writer         // what becomes of each request and why; nil: not written
+
+	keys map[string]bool // the paths of all keys that were given
 }
 
+const mostConfig = 4 << 20 // bytes of a file
+
 // ReadConfig reads the JSON form of a Config.
 func ReadConfig(r io.Reader) (*Config, error) {
 	var raw struct {
@@ -42,14 +46,38 @@
 		Known    discovery.Members
 		Settings map[string]any
 	}
-	dec := json.NewDecoder(r)
-	dec.UseNumber()
-	if err := dec.Decode(&raw); err != nil {
-		return nil, fmt.Errorf("not the expected JSON: %w", err)
+	text, err := io.ReadAll(io.LimitReader(r, mostConfig+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(text) > mostConfig:
+		return nil, fmt.Errorf("longer than %d bytes", mostConfig)
+	case len(bytes.TrimSpace(text)) == 0:
+		return nil, errors.New("empty")
+	}
+	var all any
+	for _, to := range []any{&raw, &all} {
+		dec := json.NewDecoder(bytes.NewReader(text))
+		dec.UseNumber()
+		if err := dec.Decode(to); err != nil {
+			return nil, fmt.Errorf("not the expected JSON: %w", err)
+		}
+		if _, err := dec.Token(); err != io.EOF {
+			return nil, errors.New("not the expected JSON: something follows it")
+		}
+	}
+	if err := checkNumbers(raw.Settings); err != nil {
+		return nil, err
 	}
 	c := &Config{Name: raw.Name, Listen: raw.Listen, Control: raw.Control, Discovery: raw.Discovery, Counter: raw.Counter,
 		MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets, Known: raw.Known}
-	var err error
+	c.keys = map[string]bool{}
+	keysOf(c.keys, "", all)
+	for path := range c.keys {
+		if strings.HasPrefix(path, "known.") { // what the list holds may well differ
+			delete(c.keys, path)
+		}
+	}
 	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
 	}
--- a/internal/service/hosted/hosted.go
+++ b/internal/service/hosted/hosted.go
@@ -270,7 +270,7 @@
 		c := &cfg.Pools[i]
 		p := next[c.Node.Name]
 		s.Shared.Add(p.core, c.Accounts)
-		p.core.Reload(c.Node.Discovery, c.Node.Counter)
+		p.core.Move(c.Node.Discovery, c.Node.Counter)
 	}
 	s.Shared.SetIdentities(cfg.Accounts)
 	s.router.swap(cfg.Routes, next)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -59,8 +59,7 @@
 		tr = trace.New(cfg.Trace, l.Now)
 	}
 	c, err := core.New(l, core.Config{Trace: tr, Name: cfg.Name, Gate: parts.Gate, Memory: parts.Memory, Clients: parts.Clients, Observe: parts.Observe,
-		Start: core.Rules{Classes: cfg.Transport.Classes, Plans: cfg.Transport.Plans, Settings: cfg.Settings,
-			MostOpen: cfg.Transport.MostOpen}, Seed: cfg.Seed, Figures: parts.Figures}, log)
+		Start: cfg.Rules(), Seed: cfg.Seed, Figures: parts.Figures}, log)
 	if err != nil {
 		return nil, err
 	}
@@ -117,6 +116,7 @@
 	cfg       *Config
 	log       *slog.Logger
 	listening atomic.Bool // clients' connections are taken
+	inUse     *Config     // what was last taken by Reload, or cfg. Reload's
 }
 
 // NewPlatform makes one. It takes no connection before Serve.
@@ -126,7 +126,24 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Platform{Core: c, env: NewEnv(l, cfg.MemoryMB, cfg.Sockets, c), cfg: cfg, log: log}, nil
+	return &Platform{Core: c, env: NewEnv(l, cfg.MemoryMB, cfg.Sockets, c), cfg: cfg, inUse: cfg, log: log}, nil
+}
+
+// Reload takes another configuration while the front door serves, whole or not at all: the rules, and the addresses of
+// discovery and the counter. What else it says holds from the next start. One goroutine may call it.
+func (p *Platform) Reload(cfg *Config) error {
+	if err := cfg.CheckReload(p.inUse); err != nil {
+		p.Figures.Invalid.Add(1)
+		return err
+	}
+	if err := p.Retune(cfg.Rules()); err != nil {
+		p.Figures.Invalid.Add(1)
+		return err
+	}
+	p.Move(cfg.Discovery, cfg.Counter)
+	p.inUse = cfg
+	p.Figures.Accepted.Add(1)
+	return nil
 }
 
 // Serve serves what connects to the listener until the context ends, then answers what was taken and returns. Operators call
--- a/many.go
+++ b/many.go
@@ -164,7 +164,7 @@
 func (d *Door) payMany(r *request, p *Plan, short, late bool) verdict {
 	c := r.c
 	r.byLedger = false
-	worth := max(1e-9, d.set.Classes[r.class].Worth*p.Factor*d.sizes[r.class].Density(r.units))
+	worth := max(1e-9, d.set.Classes[r.class].Worth*p.Factor*d.learned[r.class].size.Density(r.units))
 	r.level = min(bands-1, max(0, int(steps*math.Log2(d.topWorth/worth))))
 	d.tidy(c, p, 1)
 	pressed := d.fleet > 1.5
--- a/many_test.go
+++ b/many_test.go
@@ -238,7 +238,7 @@
 // the time left do, but for a few whose answers tell when it is over.
 func TestLittleEvidenceRefusesLate(t *testing.T) {
 	d := open(t, crowd(80), backends(20)...)
-	d.base[1], d.floor[1] = 0.05, 0.05
+	d.learned[1].base, d.learned[1].floor = 0.05, 0.05
 	refused := func(slower float64) (n int) {
 		d.fleet = slower
 		for range 1000 {
--- a/state.go
+++ b/state.go
@@ -63,6 +63,7 @@
 type request struct {
 	id          uint64
 	class, plan int
+	most        int // attempts, by the settings that it came under
 	c           *customer
 	units, size float64       // of the quota; the work, in that of the mean request of its class
 	at, tau     time.Duration // arrival; useful time left then
@@ -152,18 +153,26 @@
 	forFix                    // to learn whether this door is the first that would put the store right
 )
 
+// experience is what a door has learned of one class.
+type experience struct {
+	base     float64       // mean latency, seconds
+	floor    float64       // ... on an idle fleet
+	answers  int           // that these are of
+	size     size.Profile  // how the work grows with units
+	mostLeft time.Duration // the most time that a client gave
+}
+
 // Door decides for one front door.
 type Door struct {
 	set        Settings
-	floor      []float64       // latency of each class on an idle fleet
+	learned    []experience    // of each class
 	terms      []ceiling.Terms // by plan, on which its ceiling is lent; zero: it is not
 	fills      time.Duration   // the longest that a ceiling that is lent takes to fill
 	failed     int             // counter calls in a row
 	lendFrom   time.Duration   // ceilings are lent from then on
 	rng        *rand.Rand
 	now, begun time.Duration
-	lastAt     time.Duration   // the Step before
-	mostLeft   []time.Duration // by class, the most time that a client gave
+	lastAt     time.Duration // the Step before
 	running    bool
 	acts       []Action
 	servers    map[string]*server
@@ -183,12 +192,9 @@
 	fleet      float64            // the last answers of all servers, in their classes' means
 	fleetAt    time.Duration
 	counterAt  time.Duration
-	cutAt      time.Duration  // when callShare last shrank
-	calls      *pace.Pace     // to the counter, where doors are many
-	beatAt     time.Duration  // last check of what no event tells
-	base       []float64      // mean latency of each class, seconds
-	sizes      []size.Profile // how the work of each class grows with units
-	answers    []int
+	cutAt      time.Duration // when callShare last shrank
+	calls      *pace.Pace    // to the counter, where doors are many
+	beatAt     time.Duration // last check of what no event tells
 	topWorth   float64
 	short      float64 // part of the requests inside their quotas that find no free place
 	bestWorth  float64 // of the classes'
@@ -199,36 +205,49 @@
 	listAsked  bool
 }
 
-// New makes a door that knows nothing yet. The seed is for its random numbers.
-func New(set Settings, seed uint64) (*Door, error) {
+// Check says what of the settings a Door can't decide by.
+func (set *Settings) Check() error {
 	switch {
 	case set.Doors < 1:
-		return nil, errors.New("snowhall: Doors is under 1")
+		return errors.New("snowhall: Doors is under 1")
 	case len(set.Classes) == 0:
-		return nil, errors.New("snowhall: Classes is empty")
+		return errors.New("snowhall: Classes is empty")
 	case len(set.Plans) == 0:
-		return nil, errors.New("snowhall: Plans is empty")
+		return errors.New("snowhall: Plans is empty")
 	case set.MaxAttempts < 1:
-		return nil, errors.New("snowhall: MaxAttempts is under 1")
+		return errors.New("snowhall: MaxAttempts is under 1")
 	case set.Resolution < 0 || set.FallWindow < 0 || set.WarmWithin < 0 || set.AskEvery < 0:
-		return nil, errors.New("snowhall: Resolution, FallWindow, WarmWithin or AskEvery is negative")
+		return errors.New("snowhall: Resolution, FallWindow, WarmWithin or AskEvery is negative")
 	case set.FallMultiple < 0 || set.ColdFrom < 0:
-		return nil, errors.New("snowhall: FallMultiple or ColdFrom is negative")
+		return errors.New("snowhall: FallMultiple or ColdFrom is negative")
 	}
-	d := &Door{set: set, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[string]*server{},
-		reqs: map[uint64]*request{}, customers: map[string]*customer{}, asks: map[uint64][]*call{}}
 	for i, c := range set.Classes {
 		if c.Worth < 0 || c.Aim < 0 || c.GiveUp < 0 || c.Window < 0 {
-			return nil, fmt.Errorf("snowhall: Classes[%d] has a negative value", i)
+			return fmt.Errorf("snowhall: Classes[%d] has a negative value", i)
 		}
 		for j, p := range set.Plans {
 			if p.Rate < 0 || p.Burst < 0 || p.AtOnce < 0 || p.CeilingRate < 0 || p.CeilingDepth < 0 {
-				return nil, fmt.Errorf("snowhall: Plans[%d] has a negative value", j)
+				return fmt.Errorf("snowhall: Plans[%d] has a negative value", j)
 			}
 		}
 	}
-	d.floor = make([]float64, len(set.Classes))
-	d.mostLeft = make([]time.Duration, len(set.Classes))
+	return nil
+}
+
+// New makes a door that knows nothing yet. The seed is for its random numbers.
+func New(set Settings, seed uint64) (*Door, error) {
+	if err := set.Check(); err != nil {
+		return nil, err
+	}
+	d := &Door{rng: rand.New(rand.NewPCG(seed, 1)), servers: map[string]*server{},
+		reqs: map[uint64]*request{}, customers: map[string]*customer{}, asks: map[uint64][]*call{}}
+	d.tuned(set, nil)
+	return d, nil
+}
+
+// tuned takes settings, at the start or later. Evidence is kept by class and goes on as told.
+func (d *Door) tuned(set Settings, from []int) {
+	d.set, d.fills, d.bestWorth, d.topWorth = set, 0, 0, 0
 	d.terms = make([]ceiling.Terms, len(set.Plans))
 	for i, p := range set.Plans {
 		if set.LendCeilings && set.Counter && p.CeilingRate > 0 {
@@ -236,12 +255,22 @@
 			d.fills = max(d.fills, time.Duration(p.CeilingDepth/p.CeilingRate*float64(time.Second)))
 		}
 	}
-	d.sizes = make([]size.Profile, len(set.Classes))
-	for i := range d.sizes {
-		d.sizes[i] = size.New(set.MaxUnits)
+	old := d.learned
+	d.learned = make([]experience, len(set.Classes))
+	for i, c := range set.Classes {
+		if i < len(from) && from[i] >= 0 && from[i] < len(old) {
+			d.learned[i] = old[from[i]]
+		} else {
+			d.learned[i] = experience{base: max(0.001, cmp.Or(c.Aim, c.GiveUp).Seconds()*priorShare), size: size.New(set.MaxUnits)}
+		}
+		if c.Dropped {
+			continue
+		}
+		d.bestWorth = max(d.bestWorth, c.Worth)
+		for _, p := range set.Plans {
+			d.topWorth = max(d.topWorth, c.Worth*p.Factor)
+		}
 	}
-	d.base, d.answers = make([]float64, len(set.Classes)), make([]int, len(set.Classes))
-	return d, nil
 }
 
 func (d *Door) push(r *request, s *server) {
@@ -347,6 +376,8 @@
 			d.probed(ev)
 		case Finding:
 			d.evidence(ev)
+		case Retune:
+			d.tuned(ev.Settings, ev.From)
 		case Gone:
 			if r := d.reqs[ev.ID]; r != nil {
 				d.end(r)
