--- a/cmd/gapgap/main.go
+++ b/cmd/gapgap/main.go
@@ -77,13 +77,7 @@
 		case <-ended:
 			return
 		}
-		cfg, err := readFile()
-		if err == nil {
-			err = f.Reload(cfg)
-		} else {
-			f.Figures.Invalid.Add(1)
-		}
-		if err != nil {
+		if err := f.Reload(readFile); err != nil {
 			log.Error("the new configuration is not used", "error", err)
 		}
 	}
--- a/internal/service/reload.go
+++ b/internal/service/reload.go
@@ -114,12 +114,12 @@
 // all; a deadline or a number of attempts that is none would be read as no bound.
 func checkNumbers(settings map[string]any) error {
 	for _, path := range counts {
-		at := any(settings)
+		at, given := any(settings), false
 		for k := range strings.SplitSeq(path, ".") {
 			m, _ := at.(map[string]any)
-			at = m[k]
+			at, given = m[k]
 		}
-		if at == nil {
+		if !given {
 			continue
 		}
 		n, ok := at.(json.Number)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -131,12 +131,15 @@
 
 // Reload takes another configuration while the front door serves, whole or not at all: the rules, and the addresses of
 // discovery and the counter. What else it says holds from the next start. One goroutine may call it.
-func (p *Platform) Reload(cfg *Config) error {
-	if err := cfg.CheckReload(p.inUse); err != nil {
-		p.Figures.Invalid.Add(1)
-		return err
+func (p *Platform) Reload(read func() (*Config, error)) error {
+	cfg, err := read()
+	if err == nil {
+		err = cfg.CheckReload(p.inUse)
 	}
-	if err := p.Retune(cfg.Rules()); err != nil {
+	if err == nil {
+		err = p.Retune(cfg.Rules())
+	}
+	if err != nil {
 		p.Figures.Invalid.Add(1)
 		return err
 	}
