Maintenance: DETACH and ATTACH, a ban by hand that outlives list, process and upgrade

Cause: no way to take a backend out; a ban told as a list would end with discovery's next word. The module keeps it apart (inList, byHand, ejected); upstream holds back what is not yet written; the file in TMPDIR has version, checksum and lock, and the other process of an upgrade follows it. Back in use a backend is cold and owed a request within 2 s; with all out by hand requests are refused at once. Tests: module, file, two processes, a busy loop.

--- a/api.go
+++ b/api.go
@@ -210,6 +210,15 @@
 	From     []int // by class, the number of the one whose evidence it goes on with: mostly its own; negative: none
 }
 
+// Detach takes a backend out of use by hand, whatever the list says, until Attach. It holds for one that is not listed now, too.
+type Detach struct {
+	Backend string
+	At      time.Duration // when that was said; 0: now
+}
+
+// Attach ends a ban by Detach. What came of the backend meanwhile is not known, so it counts as cold.
+type Attach struct{ Backend string }
+
 // Message is a message from another door. The module passes it over.
 type Message struct{ From int }
 
@@ -224,6 +233,8 @@
 func (Probed) event()    {}
 func (Message) event()   {}
 func (Retune) event()    {}
+func (Detach) event()    {}
+func (Attach) event()    {}
 
 // Action is something the caller must do: one of the types below that name it.
 type Action interface{ action() }
@@ -260,11 +271,12 @@
 	Stale                     // it has waited too long for one
 	NoRetry                   // an attempt failed, and no other could be in time
 	TimeUp                    // its time is up
+	ByHand                    // all backends are taken out by hand
 	Reasons     = iota
 )
 
 func (r Reason) String() string {
-	names := [Reasons]string{"unknown", "too-late", "over-ceiling", "over-quota", "hopeless", "stale", "no-retry", "time-up"}
+	names := [Reasons]string{"unknown", "too-late", "over-ceiling", "over-quota", "hopeless", "stale", "no-retry", "time-up", "by-hand"}
 	if r < 0 || r >= Reasons {
 		return "other"
 	}
--- a/cmd/gapgap/main.go
+++ b/cmd/gapgap/main.go
@@ -33,6 +33,9 @@
 	signal.Notify(hup, syscall.SIGHUP) // first of all: by default the signal ends the program
 	defer signal.Stop(hup)
 	cfg, err := readConfig()
+	if err == nil && cfg.Control != "" {
+		cfg.Dir = os.Getenv("TMPDIR")
+	}
 	if err == nil && os.Getenv("NODE_TRACE") == "1" {
 		cfg.Trace = os.Stderr
 	}
--- a/door.go
+++ b/door.go
@@ -92,6 +92,7 @@
 	restartTime  = 2 * time.Second         // a server silent for longer may have been started anew
 	rateOver     = 3.0                     // seconds over which the sends to a warm server are averaged
 	coldMargin   = 0.6                     // share of the cold budget that is used: work differs from mean work
+	attachUse    = 2 * time.Second         // with few doors, a server back by hand is used within this
 	evidenceLost = 2                       // answers owed as which another door's word on a silence counts
 	forgetAfter  = 60 * time.Second        // an idle customer is forgotten
 )
@@ -601,6 +602,9 @@
 		if !s.member {
 			cost += 500 // before one that is not free
 		}
+		if s.owed { // else the warm ones might take all for seconds
+			cost = 0
+		}
 		if !d.free(s) {
 			cost = cost*10/min(1, s.slots) + 1e3
 		}
@@ -638,6 +642,10 @@
 		return
 	}
 	s := d.choose(r)
+	if s == nil && d.shut() {
+		d.refuse(r, d.set.MaxRetryAfter, ByHand)
+		return
+	}
 	if s == nil && !r.ran {
 		d.stuck = append(d.stuck, r)
 		return
@@ -819,6 +827,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	s.outs = append(s.outs, a)
+	s.owed = false
 	s.load += r.size
 	if s.cold {
 		s.recent = append(s.recent, sent{d.now, r.size})
@@ -1193,8 +1202,34 @@
 		}
 	}
 	s.zone, s.cell, s.weight, s.share = b.Zone, b.Cell, cmp.Or(max(0, b.Weight), 1), cmp.Or(max(0, b.Share), 1)
-	s.listed = s.listed || b.State == InService
-	if b.State != InService {
+	_, banned := d.byHand[s.name]
+	s.inList = b.State == InService
+	s.listed = (s.listed || s.inList) && !banned
+	if !s.inList {
 		d.retire(s)
 	}
 }
+
+// attach lets a server serve again that was taken out by hand. It may have started anew meanwhile: it is
+// cold from when the list says that it started, if that was while it was out, else from now.
+func (d *Door) attach(name string) {
+	since, ok := d.byHand[name]
+	if !ok {
+		return
+	}
+	delete(d.byHand, name)
+	d.act(Log{"back by hand: " + name})
+	s := d.servers[name]
+	if s == nil || !s.inList {
+		return
+	}
+	s.listed, s.ejected, s.trying, s.fails, s.lost, s.heard = true, false, false, 0, 0, d.now
+	s.cold, s.coldAt, s.slow, s.slots, s.owed = true, d.now, 1, 1, true
+	if s.started > since {
+		s.coldAt = s.started
+	}
+	soon := attachUse * time.Duration(max(1, d.set.Doors/crowdFrom))
+	s.coldTurn = d.now + 1 + time.Duration(d.rng.Int64N(int64(soon)))
+	d.members()
+	d.fill(s)
+}
--- /dev/null
+++ b/hand_test.go
@@ -0,0 +1,154 @@
+package snowhall
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// feed steps a door with n requests at a time, answers all sends at once, and counts them by server.
+func feed(d *Door, at time.Duration, first uint64, n int) map[string]int {
+	to := map[string]int{}
+	for i := range uint64(n) {
+		acts := d.Step(at, []Event{ask(first+i, 0, 0)})
+		for len(acts) > 0 {
+			var evs []Event
+			for _, s := range only[Send](acts) {
+				to[s.Backend]++
+				evs = append(evs, Outcome{ID: s.ID, Backend: s.Backend, Status: OK, Latency: 5 * ms, Closed: true})
+			}
+			if evs == nil {
+				break
+			}
+			acts = d.Step(at, evs)
+		}
+	}
+	return to
+}
+
+func quiet() Settings {
+	set := basic()
+	set.Counter, set.Doors, set.MayProbe = false, 1, true
+	set.Plans[0] = Plan{Factor: 1}
+	return set
+}
+
+// Nothing goes to a server that is taken out by hand, whatever the list says meanwhile, until it is let in again.
+func TestDetachBindsWhateverTheListSays(t *testing.T) {
+	list := backends(4)
+	d := open(t, quiet(), list...)
+	at := time.Second
+	if to := feed(d, at, 1, 40); to[list[0].Name] == 0 {
+		t.Fatalf("not used before: %v", to)
+	}
+	id := uint64(1000)
+	never := func(when string) {
+		t.Helper()
+		at += 100 * ms
+		if to := feed(d, at, id, 40); to[list[0].Name] > 0 || len(to) == 0 {
+			t.Errorf("%s: %v", when, to)
+		}
+		id += 100
+	}
+	out := Detach{Backend: list[0].Name}
+	d.Step(at, []Event{out})
+	d.Step(at, []Event{out}) // again
+	never("at once")
+	if listed, avoided := d.Rotation(); listed != 4 || avoided != 1 {
+		t.Errorf("%d listed, %d avoided", listed, avoided)
+	}
+	again := list[0]
+	again.Started = at
+	d.Step(at, []Event{List{Scope: Delta, Entries: []Backend{again}}})
+	never("restarted and in service by the list")
+	d.Step(at, []Event{List{Scope: Whole, Entries: list}})
+	never("a whole list")
+	gone := list[0]
+	gone.State = Terminated
+	d.Step(at, []Event{List{Scope: Delta, Entries: []Backend{gone}}})
+	d.Step(at, []Event{List{Scope: Whole, Entries: list[1:]}})
+	d.Step(at, []Event{List{Scope: Delta, Entries: []Backend{again}}})
+	never("gone and back")
+	at += 100 * ms
+	for i := range 40 { // nor is it probed, or found silent
+		if n := len(only[Probe](d.Step(at+time.Duration(i)*tick, []Event{Timer{0}}))); n > 0 {
+			t.Error("probed")
+		}
+	}
+	at += 40 * tick
+	d.Step(at, []Event{Attach{list[0].Name}})
+	s := d.servers[list[0].Name]
+	if !s.usable() || !s.cold {
+		t.Fatalf("back: usable %t, cold %t", s.usable(), s.cold)
+	}
+	used := 0
+	for end := at + 5*time.Second; at < end && used == 0; at += 200 * ms { // though warm ones are idle all the time
+		used = feed(d, at, id, 1)[list[0].Name]
+		id++
+	}
+	if used == 0 {
+		t.Error("not used for 5 s after it was let in again")
+	}
+	d.Step(at, []Event{Attach{list[0].Name}, Attach{"nobody"}}) // again: nothing is reset
+	if s.coldAt > at-100*ms {
+		t.Error("a second call made it cold anew")
+	}
+}
+
+// What is queued at the server goes on elsewhere, and what waits for all of them is refused at once, not in the end.
+func TestAllDetachedRefusesAtOnce(t *testing.T) {
+	set := quiet()
+	list := backends(2)
+	d := open(t, set, list...)
+	for i := range uint64(40) {
+		d.Step(time.Second, []Event{ask(i+1, 0, 0)})
+	}
+	d.Step(time.Second, []Event{Detach{Backend: list[0].Name}})
+	if d.servers[list[0].Name].queued > 0 {
+		t.Error("still queued there")
+	}
+	acts := d.Step(time.Second+ms, []Event{Detach{Backend: list[1].Name}, ask(100, 0, 0)})
+	refused := map[uint64]bool{}
+	for _, r := range only[Refuse](acts) {
+		refused[r.ID] = r.Why == ByHand && r.Pause > 0
+	}
+	if !refused[100] {
+		t.Errorf("not refused at once: %+v", acts)
+	}
+	open := 0
+	for _, r := range d.reqs {
+		if r.out == 0 && !r.ended {
+			open++
+		}
+	}
+	if open > 0 {
+		t.Errorf("%d still wait", open)
+	}
+}
+
+// A start that the list tells of during the ban says how cold a server is that is let in again.
+func TestAttachKnowsTheStart(t *testing.T) {
+	list := backends(3)
+	d := open(t, quiet(), list...)
+	at := 100 * time.Second
+	d.Step(at, []Event{Detach{Backend: list[0].Name, At: at - time.Second}})
+	again := list[0]
+	again.Started = at + time.Second
+	d.Step(at+5*time.Second, []Event{List{Scope: Delta, Entries: []Backend{again}}})
+	d.Step(at+9*time.Second, []Event{Attach{list[0].Name}})
+	if got := d.servers[list[0].Name].coldAt; got != again.Started {
+		t.Errorf("cold from %v, started %v", got, again.Started)
+	}
+}
+
+// Bans come and go for ever without a trace.
+func TestBansLeaveNothing(t *testing.T) {
+	d := open(t, quiet(), backends(2)...)
+	for i := range 10000 {
+		name := fmt.Sprint("x", i)
+		d.Step(time.Duration(i)*ms, []Event{Detach{Backend: name}, Attach{name}})
+	}
+	if len(d.byHand) != 0 || len(d.servers) != 2 {
+		t.Errorf("%d bans, %d servers", len(d.byHand), len(d.servers))
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,7 +47,8 @@
 	Listed(b snowhall.Backend, addr string)
 	Yield(n int64, addr string) // closes idle connections that others want
 	KeepOnly([]membership.Entry)
-	Sweep() // called about once a second
+	Hold(backend string, on bool) // keeps what is not yet written from it, whatever the list says, or no longer
+	Sweep()                       // called about once a second
 	Close()
 }
 
@@ -127,6 +128,7 @@
 	grants     []*Request            // taken since the last Step
 	dropped    map[int]time.Duration // numbers of classes that clients can't name any more, since when
 	leaving    []*Request            // the Door is to hear with the next Step that their clients have left
+	names      names
 	lastID     uint64
 	upstream   Upstream
 	counter    Counter
@@ -174,7 +176,7 @@
 		cfg.Figures = figures.New()
 	}
 	c := &Core{Config: cfg, Loop: l, log: log, door: door, requests: map[uint64]*Request{}, open: map[string]bool{},
-		dropped: map[int]time.Duration{}}
+		dropped: map[int]time.Duration{}, names: names{all: map[string]bool{}}}
 	c.rules.Store(cfg.Start.counted(cfg.Figures, nil))
 	return c, nil
 }
@@ -206,6 +208,7 @@
 	if u.Scope == snowhall.Whole || u.Scope == snowhall.Cached {
 		c.upstream.KeepOnly(u.Entries)
 	}
+	c.names.listed(u)
 	c.Trace.Line("list", "scope=%d entries=%d", u.Scope, len(u.Entries))
 	c.Tell(list)
 }
--- a/internal/front/control/control.go
+++ b/internal/front/control/control.go
@@ -31,6 +31,9 @@
 type Service interface {
 	Ready() error    // why this process can't serve; nil: it can
 	Figures() []byte // a line each
+	// Detach takes a backend out of use, Attach lets it serve again: done when they return nil.
+	Detach(ctx context.Context, backend string) error
+	Attach(ctx context.Context, backend string) error
 }
 
 // Front is the listener and its callers.
@@ -216,8 +219,10 @@
 		err = f.svc.Ready()
 	case "INFO":
 		return append(f.svc.Figures(), "END\n"...)
-	case "DETACH", "ATTACH":
-		err = fmt.Errorf("%s %s: there is no maintenance yet", word, id)
+	case "DETACH":
+		err = f.svc.Detach(ctx, id)
+	case "ATTACH":
+		err = f.svc.Attach(ctx, id)
 	}
 	if err != nil {
 		return no(err)
--- a/internal/front/control/control_test.go
+++ b/internal/front/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -21,8 +22,15 @@
 // desk is a Service that says what the test wants.
 type desk struct{ unready error }
 
-func (d *desk) Ready() error    { return d.unready }
-func (d *desk) Figures() []byte { return []byte("svc.open_requests=14\n") }
+func (d *desk) Ready() error { return d.unready }
+func (d *desk) Detach(_ context.Context, id string) error {
+	if id != "s-1" {
+		return fmt.Errorf("%q: never listed", id)
+	}
+	return nil
+}
+func (d *desk) Attach(ctx context.Context, id string) error { return d.Detach(ctx, id) }
+func (d *desk) Figures() []byte                             { return []byte("svc.open_requests=14\n") }
 
 func start(t *testing.T, svc Service) (*Front, string) {
 	t.Helper()
@@ -60,6 +68,7 @@
 		"PING\nPING\n": "YES\n", // one line to a connection
 		"\n":           "NO the line is empty\n", "PING now\n": "NO PING is followed by more than it wants\n",
 		"DETACH\n": "NO DETACH wants the ID of a backend\n", "ATTACH a b\n": "NO ATTACH is followed by more than it wants\n",
+		"detach s-1\n": "YES\n", "ATTACH  s-1 \r\n": "YES\n", "DETACH S-1\n": "NO \"S-1\": never listed\n",
 		"RESTART\n": "NO unknown call \"RESTART\"\n", "PI\x00NG\n": "NO the line is not text\n",
 		strings.Repeat("x", 4*MostLine): fmt.Sprintf("NO the line is longer than %d bytes\n", MostLine),
 	} {
--- a/internal/service/calls.go
+++ b/internal/service/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 )
 
@@ -25,3 +26,13 @@
 	c.p.Core.Figures.Write(&b)
 	return b.Bytes()
 }
+
+// Detach implements [control.Service].
+func (c calls) Detach(ctx context.Context, backend string) error {
+	return c.p.bans.change(ctx, backend, true)
+}
+
+// Attach implements [control.Service].
+func (c calls) Attach(ctx context.Context, backend string) error {
+	return c.p.bans.change(ctx, backend, false)
+}
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -28,6 +28,7 @@
 	Settings  snowhall.Settings
 	Transport wire.Transport
 	Known     discovery.Members // the list of backends as last had, maybe old
+	Dir       string            // outlives the process where the platform upgrades it; empty: nothing does
 	Trace     io.Writer         // what becomes of each request and why; nil: not written
 
 	keys map[string]bool // the paths of all keys that were given
--- /dev/null
+++ b/internal/service/maintenance_test.go
@@ -0,0 +1,197 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"snowhall/internal/standin/peer"
+)
+
+// operate makes a front door answer operators' calls.
+func operate(w *world) func(call string) string {
+	ln := peer.Listen(w.t)
+	w.operators = ln
+	return func(call string) string {
+		w.t.Helper()
+		nc, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		defer nc.Close()
+		nc.SetDeadline(time.Now().Add(peer.Patient))
+		io.WriteString(nc, call+"\n")
+		b, err := io.ReadAll(nc)
+		if err != nil {
+			w.t.Fatalf("%s: %v", call, err)
+		}
+		return string(b)
+	}
+}
+
+func withDir(dir string) option { return func(c *Config, _ *testing.T) { c.Dir = dir } }
+
+// From the yes on nothing reaches the backend, on warm connections neither, until the call back.
+func TestDetach(t *testing.T) {
+	one, two := peer.Listen(t), peer.Listen(t)
+	dir := t.TempDir()
+	w := start(t, []string{one.Addr().String(), two.Addr().String()}, withDir(dir))
+	call := w.call
+	if got := call("DETACH s-9"); !strings.HasPrefix(got, "NO ") || !strings.Contains(got, "never listed") {
+		t.Errorf("%q", got)
+	}
+	if got := call("PING"); got != "YES\n" {
+		t.Errorf("%q", got)
+	}
+	serve := func(ln net.Listener, name string) {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				p := peer.New(t, nc)
+				for {
+					if _, err := p.Try(); err != nil {
+						return
+					}
+					io.WriteString(nc, "*3\r\n"+peer.Bulk(name)+"$-1\r\n$-1\r\n")
+				}
+			}()
+		}
+	}
+	go serve(one, "one")
+	go serve(two, "two")
+	c := w.dial()
+	id := 0
+	ask := func() string {
+		id++
+		c.Command("Q.ASK", peer.Customer, fmt.Sprint(id), peer.List)
+		return c.Message()[0]
+	}
+	until := func(want string) {
+		t.Helper()
+		for limit := time.Now().Add(peer.Patient); time.Now().Before(limit); {
+			if ask() == want {
+				return
+			}
+		}
+		t.Errorf("%s is never used", want)
+	}
+	until("one")
+	until("two")
+	if got := call("DETACH s-0"); got != "YES\n" {
+		t.Fatalf("%q", got)
+	}
+	call("DETACH s-0")
+	w.news <- members(2, one.Addr().String(), two.Addr().String()) // discovery says that it is in service
+	w.p.settled()
+	for range 200 {
+		if got := ask(); got != "two" {
+			t.Fatalf("%q served", got)
+		}
+	}
+	for limit := time.Now().Add(peer.Patient); ; { // figures of the module are published ten times a second
+		got := call("INFO")
+		if strings.Contains(got, "svc.registry_entries=2\nsvc.out_of_rotation=1\n") && strings.HasSuffix(got, "\nEND\n") {
+			break
+		}
+		if time.Now().After(limit) {
+			t.Fatalf("%q", got)
+		}
+	}
+	// Another process of the same front door knows, and the first follows what the second is told.
+	other := start(t, []string{one.Addr().String(), two.Addr().String()}, withDir(dir))
+	if got := other.call("ATTACH s-0"); got != "YES\n" {
+		t.Fatalf("%q", got)
+	}
+	until("one")
+	if got := other.call("DETACH s-1"); got != "YES\n" {
+		t.Fatalf("%q", got)
+	}
+	for range 1000 { // the first process looks ten times a second
+		if !w.banned("s-1") {
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		break
+	}
+	for range 200 {
+		if got := ask(); got != "one" {
+			t.Fatalf("%q served", got)
+		}
+	}
+}
+
+func (w *world) banned(name string) bool {
+	w.p.bans.mu.Lock()
+	defer w.p.bans.mu.Unlock()
+	_, is := w.p.bans.have[name]
+	return is
+}
+
+// A ban outlives the process; a damaged or newer file is put aside with a line in the log.
+func TestBansOutliveTheProcess(t *testing.T) {
+	dir := t.TempDir()
+	w := start(t, []string{"127.0.0.1:1"}, withDir(dir))
+	if got := w.call("DETACH s-0"); got != "YES\n" {
+		t.Fatal(got)
+	}
+	w.stop()
+	<-w.p.Done()
+	again := start(t, nil, withDir(dir)) // it knows no list yet
+	if !again.banned("s-0") {
+		t.Error("the ban is lost")
+	}
+	if got := again.call("ATTACH s-0"); got != "YES\n" { // though this process has never seen it listed
+		t.Error(got)
+	}
+	again.stop()
+	<-again.p.Done()
+	file := filepath.Join(dir, "gapgap-bans.json")
+	for _, bad := range []string{"{", `{"kind":"gapgap-bans","version":99,"crc32":0,"data":{}}`, ""} {
+		if err := os.WriteFile(file, []byte(bad), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		w := start(t, []string{"127.0.0.1:1"}, withDir(dir))
+		if got := w.call("DETACH s-0"); got != "YES\n" {
+			t.Errorf("%q: %s", bad, got)
+		}
+		if _, err := os.Stat(file + ".damaged"); err != nil {
+			t.Errorf("%q: %v", bad, err)
+		}
+		w.stop()
+		<-w.p.Done()
+		os.Remove(file + ".damaged")
+	}
+}
+
+// A call for which the loop has no time in time is carried out all the same.
+func TestDetachWhileTheLoopIsBusy(t *testing.T) {
+	w := start(t, []string{"127.0.0.1:1"}, withDir(t.TempDir()))
+	w.call("PING")
+	release := make(chan struct{})
+	w.p.Post(func() { <-release })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := (calls{w.p}).Detach(ctx, "s-0"); err == nil {
+		t.Error("a yes though the loop stands still")
+	}
+	if got := w.call("PING"); got != "YES\n" { // others are answered meanwhile
+		t.Error(got)
+	}
+	close(release)
+	for range 2000 {
+		if w.banned("s-0") {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Error("never carried out")
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -115,6 +116,7 @@
 	env       *core.Env
 	cfg       *Config
 	log       *slog.Logger
+	bans      *bans
 	listening atomic.Bool // clients' connections are taken
 	inUse     *Config     // what was last taken by Reload, or cfg. Reload's
 }
@@ -126,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Platform{Core: c, env: NewEnv(l, cfg.MemoryMB, cfg.Sockets, c), cfg: cfg, inUse: cfg, log: log}, nil
+	return &Platform{Core: c, bans: newBans(c, cfg.Dir, log), env: NewEnv(l, cfg.MemoryMB, cfg.Sockets, c), cfg: cfg, inUse: cfg, log: log}, nil
 }
 
 // Reload takes another configuration while the front door serves, whole or not at all: the rules, and the addresses of
@@ -154,6 +156,11 @@
 func (p *Platform) Serve(ctx context.Context, ln, operators net.Listener) {
 	p.log.Info("serving", "listen", ln.Addr(), "backends", len(p.cfg.Known.Endpoints))
 	if operators != nil {
+		following, stop := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { p.bans.follow(following) })
+		defer wg.Wait()
+		defer stop()
 		f := control.New(operators, calls{p}, p.log)
 		f.Serve()
 		defer f.Close()
--- a/internal/service/world_test.go
+++ b/internal/service/world_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -30,12 +31,15 @@
 
 // world is a front door with what stands round it, all on loopback.
 type world struct {
-	t       *testing.T
-	p       *Platform
-	addr    string
-	stop    context.CancelFunc
-	news    chan discovery.Members // to the watch
-	watches chan string            // index each watch asked for
+	t    *testing.T
+	p    *Platform
+	addr string
+	stop context.CancelFunc
+	call func(string) string // an operator's call and its answer
+
+	operators net.Listener
+	news      chan discovery.Members // to the watch
+	watches   chan string            // index each watch asked for
 }
 
 type option func(*Config, *testing.T)
@@ -58,7 +62,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ln := peer.Listen(t)
 	w.p, w.addr, w.stop = p, ln.Addr().String(), stop
-	go p.Serve(ctx, ln, nil)
+	w.call = operate(w)
+	go p.Serve(ctx, ln, w.operators)
 	t.Cleanup(func() {
 		stop()
 		<-p.Done()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -87,7 +87,8 @@
 	name, addr string
 	started    time.Duration
 	era        int  // of its address and start
-	listed     bool // in service
+	listed     bool // in service, and not held
+	told       bool // in service, by the list
 	conns      map[*conn]bool
 	idle       []*conn // the one used last at the end
 	heard      time.Duration
@@ -135,12 +136,13 @@
 	cfg    Config
 	probes func(snowhall.Probed)
 	all    map[string]*backend
-	count  int // connections, those being dialled too
+	held   map[string]bool // backends that nothing may be sent to, whatever the list says
+	count  int             // connections, those being dialled too
 }
 
 // New makes an empty pool. The results of probes go to the function, by the loop goroutine.
 func New(l *loop.Loop, cfg Config, probes func(snowhall.Probed)) *Pool {
-	return &Pool{l: l, cfg: cfg, probes: probes, all: map[string]*backend{}}
+	return &Pool{l: l, cfg: cfg, probes: probes, all: map[string]*backend{}, held: map[string]bool{}}
 }
 
 // Close ends all connections.
@@ -175,7 +177,26 @@
 		bs.closeIdle(b, bs.l.Now())
 		bs.dropDialled(b)
 	}
-	if b.listed = e.State == snowhall.InService; !b.listed {
+	b.told = e.State == snowhall.InService
+	if b.listed = b.told && !bs.held[e.Name]; !b.listed {
+		bs.retire(b)
+	}
+}
+
+// Hold keeps all from a backend that is not yet written, whatever the list says, or lets it through again. Nothing waits for a
+// connection to it any more when Hold returns.
+func (bs *Pool) Hold(name string, on bool) {
+	b := bs.all[name]
+	if !on {
+		delete(bs.held, name)
+		if b != nil {
+			b.listed = b.told
+		}
+		return
+	}
+	bs.held[name] = true
+	if b != nil {
+		b.listed = false
 		bs.retire(b)
 	}
 }
@@ -188,7 +209,7 @@
 	}
 	for _, b := range bs.all {
 		if !named[b.name] {
-			b.listed = false
+			b.listed, b.told = false, false
 			bs.retire(b)
 		}
 	}
@@ -212,7 +233,7 @@
 }
 
 func (bs *Pool) forget(b *backend) {
-	if !b.listed && len(b.conns) == 0 {
+	if !b.told && len(b.conns) == 0 {
 		delete(bs.all, b.name)
 		if b.cap != nil {
 			b.cap.Leave()
--- a/state.go
+++ b/state.go
@@ -22,7 +22,9 @@
 	zone, cell          int
 	weight, slots, slow float64
 	share               float64 // of what it bears while cold
-	listed              bool    // in service, by the list
+	listed              bool    // in service, by the list and by hand
+	inList              bool    // ... by the list
+	owed                bool    // back by hand and not used since
 	member              bool    // this door uses it as a rule
 	started, coldAt     time.Duration
 	cold, ejected       bool
@@ -177,6 +179,7 @@
 	acts       []Action
 	servers    map[string]*server
 	ring       []*server
+	byHand     map[string]time.Duration // servers that are taken out by hand, since when
 	turn       int
 	sized      int // servers by which members were last found
 	queued     int // requests in all queues
@@ -239,7 +242,7 @@
 	if err := set.Check(); err != nil {
 		return nil, err
 	}
-	d := &Door{rng: rand.New(rand.NewPCG(seed, 1)), servers: map[string]*server{},
+	d := &Door{byHand: map[string]time.Duration{}, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[string]*server{},
 		reqs: map[uint64]*request{}, customers: map[string]*customer{}, asks: map[uint64][]*call{}}
 	d.tuned(set, nil)
 	return d, nil
@@ -376,6 +379,10 @@
 			d.probed(ev)
 		case Finding:
 			d.evidence(ev)
+		case Detach:
+			d.detach(ev)
+		case Attach:
+			d.attach(ev.Backend)
 		case Retune:
 			d.tuned(ev.Settings, ev.From)
 		case Gone:
@@ -488,6 +495,19 @@
 	}
 }
 
+// detach takes a server out of use by hand.
+func (d *Door) detach(ev Detach) {
+	if _, ok := d.byHand[ev.Backend]; !ok {
+		d.byHand[ev.Backend] = cmp.Or(ev.At, d.now)
+		d.act(Log{"taken out by hand: " + ev.Backend})
+	}
+	if s := d.servers[ev.Backend]; s != nil {
+		d.retire(s)
+		d.members()
+	}
+}
+
+// retire ends what new work goes to a server.
 func (d *Door) retire(s *server) {
 	if s.listed {
 		s.listed = false
@@ -503,6 +523,7 @@
 	}
 	for _, s := range d.ring {
 		if !named[s.name] {
+			s.inList = false
 			d.retire(s)
 		}
 	}
@@ -532,9 +553,9 @@
 // Rotation tells how many backends the list has, and how many of them this door avoids now.
 func (d *Door) Rotation() (listed, avoided int) {
 	for _, s := range d.ring {
-		if s.listed {
+		if s.inList {
 			listed++
-			if s.ejected {
+			if !s.usable() {
 				avoided++
 			}
 		}
@@ -546,7 +567,7 @@
 func (d *Door) prune() {
 	kept := d.ring[:0:0]
 	for _, s := range d.ring {
-		if s.listed || len(s.outs) > 0 {
+		if s.inList || len(s.outs) > 0 {
 			kept = append(kept, s)
 		} else {
 			delete(d.servers, s.name)
@@ -638,6 +659,18 @@
 // usable says whether new work may go to a server on the ordinary path.
 func (s *server) usable() bool { return s.listed && !s.ejected }
 
+// shut says that no server can be chosen since all that are listed are taken out by hand.
+func (d *Door) shut() bool {
+	some := false
+	for _, s := range d.ring {
+		if s.listed {
+			return false
+		}
+		some = some || s.inList
+	}
+	return some
+}
+
 // timer takes the request's own timer, the tick and the list's.
 func (d *Door) timer(cookie uint64) {
 	if cookie == 0 {
