Upgrade under load: listening socket, client connections and balances are handed over

The new process asks for the hand-over over a Unix socket in TMPDIR once all that can fail is done; the old one pauses, hands on, and moves each client connection when nothing is owed on it. Fallback: SO_REUSEPORT, the queue emptied before the close.

--- a/cmd/gapgap/main.go
+++ b/cmd/gapgap/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -50,20 +51,27 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("name", cfg.Name)
+	var operators net.Listener
+	if cfg.Control != "" {
+		if operators, err = net.Listen("tcp", cfg.Control); err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+	}
+	if err := cfg.Settings.Check(); err != nil { // all that can fail, before a process that serves is asked to hand over
+		return fmt.Errorf("settings: %w", err)
+	}
+	old, err := service.Inherit(cfg)
+	if err != nil {
+		log.Error("nothing is taken over from the process before", "error", err)
+	}
 	f, err := service.NewPlatform(cfg, log)
 	if err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := listen(f, old, cfg, log)
 	if err != nil {
 		return err
 	}
-	var operators net.Listener
-	if cfg.Control != "" {
-		if operators, err = net.Listen("tcp", cfg.Control); err != nil {
-			return fmt.Errorf("control: %w", err)
-		}
-	}
 	ended := make(chan struct{})
 	defer close(ended)
 	go reload(hup, ended, f, log)
@@ -71,6 +79,32 @@
 	return nil
 }
 
+// listen takes the listening socket over from the process before, or makes one. Where operators call, there may be two processes
+// for the time of an upgrade.
+func listen(f *service.Platform, old *service.Inheritance, cfg *service.Config, log *slog.Logger) (net.Listener, error) {
+	if old != nil {
+		err := f.Succeed(old)
+		if err == nil {
+			return old.Listener, nil
+		}
+		log.Error("nothing is taken over from the process before", "error", err)
+	}
+	lc := net.ListenConfig{}
+	if cfg.Control != "" {
+		lc.Control = reusePort
+	}
+	return lc.Listen(context.Background(), "tcp", cfg.Listen)
+}
+
+// reusePort lets a second process listen on the same address.
+func reusePort(_, _ string, rc syscall.RawConn) error {
+	var failed error
+	err := rc.Control(func(fd uintptr) { failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, soReusePort, 1) })
+	return errors.Join(err, failed)
+}
+
+const soReusePort = 15 // SO_REUSEPORT, which package syscall lacks here
+
 // reload reads the file again at each signal. The file now goes before the environment, which tells what held at
 // the start.
 func reload(hup <-chan os.Signal, ended <-chan struct{}, f *service.Platform, log *slog.Logger) {
--- a/door.go
+++ b/door.go
@@ -336,7 +336,7 @@
 		}
 		c.tokens = 0
 	}
-	fill := p.Rate / c.doors * (1 - d.callShare) * (d.now - c.spareAt).Seconds()
+	fill := p.Rate / c.doors * (1 - d.callShare) * d.since(c.spareAt)
 	c.spare, c.spareAt = min(max(c.spare, p.Burst/c.doors), c.spare+fill), d.now
 	calls := d.set.Counter && !r.asked && d.now >= max(c.emptyUntil, c.pauseUntil) && d.mayCall()
 	switch {
@@ -373,7 +373,7 @@
 // mayCall says that the counter can be asked: it answers, or this door's turn to test it has come.
 func (d *Door) mayCall() bool {
 	pause := max(counterTry, time.Duration(d.set.Doors)*counterEach)
-	return len(d.asks) < mostAsks && (d.callShare > callsFew || d.now-d.counterAt >= pause)
+	return !d.away && len(d.asks) < mostAsks && (d.callShare > callsFew || d.now-d.counterAt >= pause)
 }
 
 // further is by how much a lease reaches further ahead where the customer's store is nearly full: units that
@@ -536,10 +536,10 @@
 			return d.turnOf(c, t)
 		}
 	}
-	c.ceil += rate / c.doors * (d.now - c.ceilAt).Seconds()
+	c.ceil += rate / c.doors * d.since(c.ceilAt)
 	c.ceil = min(c.ceil, depth/c.doors)
 	if g := c.leaves(); g > 0 {
-		c.kept += g * p.CeilingRate / c.doors * (d.now - c.ceilAt).Seconds()
+		c.kept += g * p.CeilingRate / c.doors * d.since(c.ceilAt)
 		c.kept = max(0, min(c.kept, c.ceil, max(1, g*p.CeilingDepth/c.doors)))
 	} else {
 		c.kept = 0
--- /dev/null
+++ b/handover.go
@@ -0,0 +1,204 @@
+package snowhall
+
+// What a door hands to the one that takes its place while both still run. Nothing here decides: it writes down what the rules
+// need to hold over the pair, and what would take the other seconds to learn. What is handed on is no longer this door's.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	handedMost = 4096    // customers that are handed on, those seen last; the others are met anew
+	ghosts     = 1 << 62 // from here on requests are numbered that are open at the door before
+)
+
+// Memory is what a door hands on. Classes and plans are numbered as in its settings.
+type Memory struct {
+	At        time.Duration
+	Classes   []ClassMemory
+	Customers []CustomerMemory
+	Servers   []ServerMemory
+	Fleet     float64
+	Rate      float64
+	Short     float64
+	CallShare float64
+}
+
+// ClassMemory is what is known of a class.
+type ClassMemory struct {
+	Base, Floor float64 // seconds
+	Answers     int
+}
+
+// CustomerMemory is how a customer stands.
+type CustomerMemory struct {
+	Name                                         string
+	Plan                                         int
+	Doors, Demand, Leave                         float64
+	DemandAt, UsedAt                             time.Duration
+	Tokens, Owed, Spare, Others, Store, Seen     float64
+	SpareAt, GrantAt, StoreAt, KnownAt, TokensAt time.Duration
+	Known                                        bool
+	SeenIn, Carried, Turn                        int64
+	CarriedAt, EmptyUntil                        time.Duration
+	Ceil, Kept                                   float64
+	CeilAt                                       time.Duration
+	Open                                         []time.Duration // until when those are open at the latest that count against a cap
+}
+
+// ServerMemory is what is known of a backend.
+type ServerMemory struct {
+	Name            string
+	Started, ColdAt time.Duration
+	Cold, Ejected   bool
+	Slow, Slots     float64
+	Sends           []SendMemory // of the last cold window
+}
+
+// SendMemory is one send to a cold backend.
+type SendMemory struct {
+	At   time.Duration
+	Size float64
+}
+
+// Leave asks for what the door that takes this one's place needs; a Handed answers it. From then on this door ends what it has
+// and spends nothing but what that has reserved, until a Recall gives something back.
+type Leave struct{}
+
+// Handed answers a Leave.
+type Handed struct{ Memory Memory }
+
+// Recall gives a door what another one handed on, before its first request; or gives it back to the one that did.
+type Recall struct{ Memory Memory }
+
+func (Leave) event()   {}
+func (Recall) event()  {}
+func (Handed) action() {}
+
+// since is the seconds in which this door's shares have filled.
+func (d *Door) since(at time.Duration) float64 {
+	if d.away {
+		return 0
+	}
+	return (d.now - at).Seconds()
+}
+
+// leave writes down and gives away.
+func (d *Door) leave() {
+	m := Memory{At: d.now, Fleet: d.fleet, Rate: d.rate, Short: d.short, CallShare: d.callShare}
+	for _, k := range d.learned {
+		m.Classes = append(m.Classes, ClassMemory{k.base, k.floor, k.answers})
+	}
+	open := map[*customer][]time.Duration{}
+	for _, r := range d.reqs {
+		if r.live {
+			open[r.c] = append(open[r.c], max(r.at+r.tau, r.holdUntil))
+		}
+	}
+	all := slices.Clone(d.order)
+	slices.SortFunc(all, func(a, b *customer) int {
+		return cmp.Or(cmp.Compare(b.usedAt, a.usedAt), cmp.Compare(a.name, b.name))
+	})
+	for _, c := range all {
+		d.ceiling(c, &d.set.Plans[c.plan]) // up to now
+		if len(m.Customers) < handedMost {
+			keeps := min(c.ceil, c.ceilQueued)
+			slices.Sort(open[c])
+			m.Customers = append(m.Customers, CustomerMemory{Name: c.name, Plan: c.plan, Doors: c.doors, Demand: c.demand,
+				Leave: c.leave, DemandAt: c.demandAt, UsedAt: c.usedAt, Tokens: c.tokens, Owed: c.owed, Spare: c.spare,
+				Others: c.others, Store: c.store, Seen: c.seen, SpareAt: c.spareAt, GrantAt: c.grantAt, StoreAt: c.storeAt,
+				KnownAt: c.knownAt, TokensAt: c.tokensFrom, Known: c.known, SeenIn: c.seenIn, Carried: c.carried,
+				Turn: c.turn, CarriedAt: c.carriedAt, EmptyUntil: c.emptyUntil, Ceil: c.ceil - keeps, Kept: c.kept,
+				CeilAt: c.ceilAt, Open: open[c]})
+		}
+		c.tokens, c.owed, c.spare, c.kept, c.ceil = 0, 0, min(0, c.spare), 0, min(c.ceil, c.ceilQueued)
+	}
+	for _, s := range d.ring {
+		sm := ServerMemory{Name: s.name, Started: s.started, ColdAt: s.coldAt, Cold: s.cold, Ejected: s.ejected, Slow: s.slow,
+			Slots: s.slots}
+		for _, e := range s.recent {
+			sm.Sends = append(sm.Sends, SendMemory{e.at, e.size})
+		}
+		m.Servers = append(m.Servers, sm)
+	}
+	d.away = true
+	d.act(Handed{m})
+}
+
+// recall takes over what was handed on. A door that gets its own back adds it to what came in meanwhile.
+func (d *Door) recall(m Memory) {
+	back := d.away
+	d.away = false
+	for _, c := range d.customers { // what would have filled meanwhile was the other's
+		c.spareAt, c.ceilAt = max(c.spareAt, d.now), max(c.ceilAt, d.now)
+	}
+	if !back {
+		d.fleet, d.fleetAt, d.rate, d.rateAt, d.short = cmp.Or(m.Fleet, d.fleet), d.now, m.Rate, d.now, m.Short
+		if d.set.Counter {
+			d.callShare = min(1, max(callsLeast, cmp.Or(m.CallShare, 1)))
+		}
+		for i, k := range m.Classes {
+			if l := &d.learned[i]; i < len(d.learned) && k.Answers > 0 && k.Base > 0 {
+				l.base, l.floor, l.answers = k.Base, k.Floor, k.Answers
+			}
+		}
+		for _, sm := range m.Servers {
+			d.recallServer(sm)
+		}
+	}
+	for i, cm := range m.Customers {
+		if cm.Plan >= 0 && cm.Plan < len(d.set.Plans) && cm.Doors > 0 {
+			d.recallCustomer(i, cm, back)
+		}
+	}
+}
+
+func (d *Door) recallServer(sm ServerMemory) {
+	s := d.servers[sm.Name]
+	if s == nil || s.started != sm.Started {
+		return // another process, of which nothing is known
+	}
+	s.cold, s.coldAt, s.slots = sm.Cold, sm.ColdAt, min(slotsMost, max(slotsLeast, sm.Slots))
+	if sm.Slow > 0 {
+		s.slow = sm.Slow
+	}
+	for _, e := range sm.Sends {
+		s.recent = append(s.recent, sent{e.At, e.Size})
+	}
+	if s.listed && sm.Ejected && !s.ejected {
+		d.eject(s)
+	}
+}
+
+func (d *Door) recallCustomer(i int, cm CustomerMemory, back bool) {
+	p := &d.set.Plans[cm.Plan]
+	c := d.customers[cm.Name]
+	if back && c != nil {
+		c.tokens += cm.Tokens
+		c.owed += cm.Owed
+		c.spare += max(0, cm.Spare)
+		c.kept += cm.Kept
+		c.ceil += cm.Ceil
+		return
+	}
+	if c == nil {
+		c = d.customer(Request{Customer: cm.Name, Plan: cm.Plan, Doors: int(cm.Doors)})
+	}
+	c.demand, c.leave, c.demandAt, c.usedAt = cm.Demand, cm.Leave, cm.DemandAt, cm.UsedAt
+	c.tokens, c.owed, c.spare, c.spareAt = cm.Tokens, cm.Owed, min(cm.Spare, p.Burst/cm.Doors), cm.SpareAt
+	c.others, c.store, c.seen, c.seenIn = cm.Others, cm.Store, cm.Seen, cm.SeenIn
+	c.grantAt, c.storeAt, c.knownAt, c.tokensFrom = cm.GrantAt, cm.StoreAt, cm.KnownAt, cm.TokensAt
+	c.known, c.carried, c.carriedAt, c.emptyUntil = cm.Known, cm.Carried, cm.CarriedAt, cm.EmptyUntil
+	c.turn, c.ceil, c.kept, c.ceilAt = cm.Turn, min(cm.Ceil, p.CeilingDepth), cm.Kept, cm.CeilAt
+	for j, until := range cm.Open[:min(len(cm.Open), max(0, p.AtOnce))] {
+		if until <= d.now {
+			continue
+		}
+		r := &request{id: ghosts + uint64(i)<<20 + uint64(j), c: c, plan: cm.Plan, at: d.now, granted: true, live: true, holdUntil: until}
+		d.reqs[r.id] = r
+		c.live++
+		d.act(SetTimer{until, r.id<<1 | 1})
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,6 +47,7 @@
 	Listed(b snowhall.Backend, addr string)
 	Yield(n int64, addr string) // closes idle connections that others want
 	KeepOnly([]membership.Entry)
+	Most(n int)                   // connections at once from now on
 	Hold(backend string, on bool) // keeps what is not yet written from it, whatever the list says, or no longer
 	Sweep()                       // called about once a second
 	Close()
@@ -129,6 +130,9 @@
 	dropped    map[int]time.Duration // numbers of classes that clients can't name any more, since when
 	leaving    []*Request            // the Door is to hear with the next Step that their clients have left
 	names      names
+	handed     snowhall.Memory  // what the Door has just handed on
+	inherited  *snowhall.Memory // what it is to begin with; nil: nothing
+	left       bool             // another process has taken over
 	lastID     uint64
 	upstream   Upstream
 	counter    Counter
@@ -253,6 +257,7 @@
 func (c *Core) begin() (end func()) {
 	c.Trace.Line("settings", "%s", strings.ReplaceAll(fmt.Sprintf("%+v", c.Rules().Settings), " ", ","))
 	c.membership.Known()
+	c.inherit()
 	c.Step() // from here on it is able to serve
 	c.membership.Follow(c.membership.Addr())
 	c.Every(sweepEvery, func() {
@@ -323,6 +328,9 @@
 			term = nil
 			c.log.Info("ending")
 			finish = c.Now() + AcceptAfterTerm
+			if c.left { // nobody comes any more
+				finish = c.Now()
+			}
 			give = finish + c.Longest() + AnswerMargin
 		}
 		c.Step() // all that was there goes into one
@@ -410,6 +418,8 @@
 		c.At(a.At, func() { c.Tell(snowhall.Timer{Cookie: a.Cookie}) })
 	case snowhall.Watch, snowhall.Fetch:
 		c.membership.Fetch()
+	case snowhall.Handed:
+		c.handed = a.Memory
 	case snowhall.Finding:
 		if c.Found != nil {
 			c.Found(a)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -23,6 +23,7 @@
 func (s *sides) Probe(string)                    {}
 func (s *sides) Listed(snowhall.Backend, string) {}
 func (s *sides) KeepOnly([]membership.Entry)     {}
+func (s *sides) Most(int)                        {}
 func (s *sides) Hold(string, bool)               {}
 func (s *sides) Yield(int64, string)             {}
 func (s *sides) Sweep()                          {}
--- /dev/null
+++ b/internal/core/succession.go
@@ -0,0 +1,93 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"snowhall"
+)
+
+// Estate is what a core hands to the one of another process that takes its place. Classes and plans are numbered as its names
+// have them.
+type Estate struct {
+	Classes, Plans []string
+	Gone           []string // backends that were listed once and are not now
+	Memory         snowhall.Memory
+}
+
+// Leave makes the core end what it has and take nothing more upon itself: what it returns is another's from then on, or goes
+// to TakeBack. Any goroutine may call it.
+func (c *Core) Leave(ctx context.Context) (e Estate, err error) {
+	err = c.onLoop(ctx, func() error {
+		if c.left {
+			return errors.New("another process has it already")
+		}
+		c.Tell(snowhall.Leave{})
+		c.Step()
+		c.left = true
+		rules := c.Rules()
+		e = Estate{Classes: rules.Classes, Plans: rules.Plans, Gone: slices.Clone(c.names.gone), Memory: c.handed}
+		c.handed = snowhall.Memory{}
+		c.upstream.Yield(1<<20, "") // connections that carry nothing are for the other
+		return nil
+	})
+	return e, err
+}
+
+// TakeBack undoes Leave. What was handed on and has perhaps been spent does not come back: then the estate is empty.
+func (c *Core) TakeBack(ctx context.Context, e Estate) error {
+	return c.onLoop(ctx, func() error {
+		if c.left {
+			c.left = false
+			c.Tell(snowhall.Recall{Memory: e.Memory})
+			c.Step()
+		}
+		return nil
+	})
+}
+
+// Left says whether another process has taken over. Only the loop goroutine may call it.
+func (c *Core) Left() bool { return c.left }
+
+// Inherit gives the core what another process has left, before Run.
+func (c *Core) Inherit(e Estate) {
+	rules := c.Rules()
+	m := e.Memory
+	classes := make([]snowhall.ClassMemory, len(rules.Classes))
+	for i, k := range m.Classes {
+		if i < len(e.Classes) && e.Classes[i] != "" {
+			if at := slices.Index(rules.Classes, e.Classes[i]); at >= 0 {
+				classes[at] = k
+			}
+		}
+	}
+	m.Classes = classes
+	customers := m.Customers[:0:0]
+	for _, cm := range m.Customers {
+		if cm.Plan < 0 || cm.Plan >= len(e.Plans) || e.Plans[cm.Plan] == "" {
+			continue
+		}
+		if cm.Plan = slices.Index(rules.Plans, e.Plans[cm.Plan]); cm.Plan >= 0 {
+			customers = append(customers, cm)
+		}
+	}
+	m.Customers = customers
+	for _, name := range e.Gone[:min(len(e.Gone), mostNames)] {
+		if !c.names.has(name) {
+			c.names.left(name)
+		}
+	}
+	c.inherited = &m
+}
+
+// inherit tells the Door, once it knows the list.
+func (c *Core) inherit() {
+	if c.inherited != nil {
+		c.Tell(snowhall.Recall{Memory: *c.inherited})
+		c.inherited = nil
+	}
+}
+
+// Most sets how many connections to backends there may be. Any goroutine may call it.
+func (c *Core) Most(n int) { c.Post(func() { c.upstream.Most(n) }) }
--- a/internal/front/resp2/client.go
+++ b/internal/front/resp2/client.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -15,6 +16,7 @@
 	"snowhall/internal/budget"
 	"snowhall/internal/core"
 	"snowhall/internal/gate"
+	"snowhall/internal/handover"
 	"snowhall/internal/resp"
 	"snowhall/internal/sock"
 )
@@ -79,8 +81,13 @@
 func (c *client) read() {
 	defer c.end()
 	for {
+		if c.mayMove() && c.move() {
+			return
+		}
 		m, err := c.in.Next()
 		switch {
+		case err == errMoving:
+			continue
 		case errors.Is(err, resp.ErrMalformed):
 			c.turnAway("-ERR Protocol error\r\n")
 			return
@@ -119,7 +126,45 @@
 		c.nc.SetReadDeadline(time.Time{})
 		c.timed = false
 	}
-	return c.nc.Read(b)
+	if c.mayMove() { // after the deadline is set: Move sets another one after it has said so
+		return 0, errMoving
+	}
+	n, err := c.nc.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && (c.due.IsZero() || time.Now().Before(c.due)) {
+		c.timed = true // Move's, to be taken off
+		return 0, errMoving
+	}
+	return n, err
+}
+
+var errMoving = errors.New("the connection is to be handed over")
+
+// mayMove says that the connection is to be handed to another process before more is read from it. With much of a command
+// read that goes on here first.
+func (c *client) mayMove() bool {
+	return c.fr.mover.Load() != nil && len(c.in.Unread()) <= handover.MostUnread
+}
+
+// move waits until nothing is owed on the connection and hands it over. false: it stays, or has ended.
+func (c *client) move() bool {
+	c.mu.Lock()
+	for (len(c.slots) > 0 || len(c.out) > 0 || c.writing) && !c.closed {
+		c.room.Wait()
+	}
+	closed := c.closed
+	c.mu.Unlock()
+	to := c.fr.mover.Load()
+	sc, ok := c.nc.(syscall.Conn)
+	if closed || to == nil || !ok {
+		return false
+	}
+	if err := (*to)(sc, c.in.Unread()); err != nil {
+		if c.fr.mover.CompareAndSwap(to, nil) {
+			c.fr.log.Error("a connection could not be handed over: they stay", "error", err)
+		}
+		return false
+	}
+	return true
 }
 
 // command handles one command and says whether to go on.
--- a/internal/front/resp2/front.go
+++ b/internal/front/resp2/front.go
@@ -6,8 +6,11 @@
 	"errors"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"snowhall/internal/account"
@@ -16,6 +19,8 @@
 	"snowhall/internal/route"
 )
 
+const emptyWithin = 10 * time.Millisecond // for the connections that wait in a listener's queue as it is closed
+
 const comeBack = 100 * time.Millisecond // what a client is told for which there is no room
 
 // Config is one listener.
@@ -30,32 +35,62 @@
 
 // Front takes connections and reads requests from them.
 type Front struct {
-	env       *core.Env
-	cfg       Config
-	log       *slog.Logger
-	ln        net.Listener
-	plain     *route.Query // where requests are not told apart
-	lingering atomic.Int64 // connections on which only the rest of what was refused is awaited
+	env   *core.Env
+	cfg   Config
+	log   *slog.Logger
+	ln    net.Listener
+	plain *route.Query // where requests are not told apart
+
+	mu      sync.Mutex
+	resumed *sync.Cond
+	pause   bool // no connection is taken
+	closed  bool // ... nor will be, but for those that wait already
+	ended   atomic.Bool
+
+	mover     atomic.Pointer[func(c syscall.Conn, unread []byte) error] // hands connections to another process; nil: they stay
+	lingering atomic.Int64                                              // connections on which only the rest of what was refused is awaited
 }
 
 // New makes a front on a listener, which it closes.
 func New(env *core.Env, cfg Config, ln net.Listener, log *slog.Logger) *Front {
-	return &Front{env: env, cfg: cfg, ln: ln, log: log, plain: &route.Query{Listener: cfg.Listener}}
+	fr := &Front{env: env, cfg: cfg, ln: ln, log: log, plain: &route.Query{Listener: cfg.Listener}}
+	fr.resumed = sync.NewCond(&fr.mu)
+	return fr
 }
 
 // Serve implements [core.Front].
 func (fr *Front) Serve() { go fr.accept() }
 
 // CloseListeners implements [core.Front].
-func (fr *Front) CloseListeners() { fr.ln.Close() }
+func (fr *Front) CloseListeners() {
+	fr.mu.Lock()
+	defer fr.mu.Unlock()
+	if fr.closed {
+		return
+	}
+	fr.closed = true
+	fr.resumed.Broadcast()
+	if ln, ok := fr.ln.(deadliner); ok && !fr.pause {
+		ln.SetDeadline(time.Now().Add(emptyWithin)) // what waits in its queue would be reset
+		return
+	}
+	fr.ln.Close()
+}
 
 // accept takes connections until the listener is closed.
 func (fr *Front) accept() {
+	defer fr.ended.Store(true)
 	for {
 		nc, err := fr.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if fr.paused() {
+				return
+			}
+			continue
+		}
 		if err != nil { // out of descriptors, say: what was taken goes on meanwhile
 			fr.log.Warn("accept", "error", err)
 			time.Sleep(10 * time.Millisecond)
@@ -73,15 +108,83 @@
 	}
 }
 
-// Drain implements [core.Front]: it closes the connections that stand between two requests, and the others with their
-// last answer.
-func (fr *Front) Drain() bool {
-	var all []*client
+// deadliner is a listener that can be made to take nothing for a time, such as that of TCP.
+type deadliner interface{ SetDeadline(time.Time) error }
+
+// paused waits while no connection is to be taken; true: the listener was closed meanwhile.
+func (fr *Front) paused() bool {
+	fr.mu.Lock()
+	defer fr.mu.Unlock()
+	for fr.pause && !fr.closed {
+		fr.resumed.Wait()
+	}
+	if fr.closed {
+		fr.ln.Close()
+	}
+	return fr.closed
+}
+
+// Pause stops taking connections, which then wait in the listener's queue. One that is just being taken is handed over as others.
+func (fr *Front) Pause() {
+	fr.mu.Lock()
+	fr.pause = true
+	fr.mu.Unlock()
+	if ln, ok := fr.ln.(deadliner); ok {
+		ln.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+// Resume takes connections again.
+func (fr *Front) Resume() {
+	if ln, ok := fr.ln.(deadliner); ok {
+		ln.SetDeadline(time.Time{})
+	}
+	fr.mu.Lock()
+	fr.pause = false
+	fr.resumed.Broadcast()
+	fr.mu.Unlock()
+}
+
+// Move hands all connections to another process, each as soon as nothing is owed on it, until Stay.
+func (fr *Front) Move(to func(c syscall.Conn, unread []byte) error) {
+	fr.mover.Store(&to)
+	for _, c := range fr.clients() {
+		c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes who reads
+	}
+}
+
+// Stay keeps the connections that are not handed over yet.
+func (fr *Front) Stay() { fr.mover.Store(nil) }
+
+// Adopt takes over a connection from another process, which read from it what it did not use.
+func (fr *Front) Adopt(nc net.Conn, unread []byte) {
+	c := newClient(fr, nc)
+	c.due = time.Time{}
+	c.spoken.Store(true)
+	if len(unread) > 0 {
+		c.in.Put(unread)
+	}
+	fr.env.Conns.Add(c)
+	go c.read()
+}
+
+// clients are this front's connections.
+func (fr *Front) clients() (all []*client) {
 	for _, c := range budget.Of[*client](fr.env.Conns) {
 		if c.fr == fr {
 			all = append(all, c)
 		}
 	}
+	return all
+}
+
+// Drain implements [core.Front]: it closes the connections that stand between two requests, and the others with their
+// last answer.
+func (fr *Front) Drain() bool {
+	all := fr.clients()
+	if fr.mover.Load() != nil { // they end by being handed over
+		return len(all) == 0 && fr.ended.Load()
+	}
 	for _, c := range all { // all first, so that no client finds one closed and turns to another
 		c.mu.Lock()
 		c.last = true
@@ -92,7 +195,7 @@
 		c.closeIfIdle()
 		c.mu.Unlock()
 	}
-	return len(all) == 0
+	return len(all) == 0 && fr.ended.Load()
 }
 
 // busyAnswer is a refusal, with the time to stay away in whole milliseconds.
--- a/internal/membership/discovery/discovery.go
+++ b/internal/membership/discovery/discovery.go
@@ -73,6 +73,7 @@
 	epoch int   // of the watch: what an older one still reads is passed over
 	stop  context.CancelFunc
 	terms backoff.Terms
+	all   map[string]Endpoint // the list as the loop has it
 }
 
 // New makes a watch that begins with Follow. The sink is called by the loop goroutine.
@@ -81,7 +82,7 @@
 	t := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 		ResponseHeaderTimeout: max(watchSilence, terms.Most), MaxConnsPerHost: 4}
 	return &Watch{l: l, log: log, cfg: cfg, sink: sink, http: &http.Client{Transport: t}, addr: cfg.Addr,
-		index: cfg.Known.Index, stop: func() {}, terms: terms}
+		index: cfg.Known.Index, stop: func() {}, terms: terms, all: map[string]Endpoint{}}
 }
 
 // Addr is where the list is watched.
@@ -90,6 +91,15 @@
 // Known hands on the list as last had.
 func (d *Watch) Known() { d.take(d.cfg.Known, snowhall.Cached) }
 
+// List is the list as it is known now, in a form that Config.Known takes. Only the loop goroutine may call it.
+func (d *Watch) List() Members {
+	m := Members{Index: d.index, Snapshot: true, Endpoints: make([]Endpoint, 0, len(d.all))}
+	for _, e := range d.all {
+		m.Endpoints = append(m.Endpoints, e)
+	}
+	return m
+}
+
 // Stop ends the watch.
 func (d *Watch) Stop() {
 	d.stop()
@@ -199,12 +209,18 @@
 // take reads a list or its changes and hands them on.
 func (d *Watch) take(m Members, scope snowhall.Scope) {
 	u := membership.Update{Scope: scope}
+	if scope != snowhall.Delta {
+		clear(d.all)
+	}
 	for _, e := range m.Endpoints {
 		state, ok := statuses[e.Status]
 		if !ok || e.Name == "" {
 			d.log.Warn("an entry of the list that makes no sense", "name", e.Name, "status", e.Status)
 			continue
 		}
+		if d.all[e.Name] = e; state == snowhall.Terminated {
+			delete(d.all, e.Name)
+		}
 		b := snowhall.Backend{Name: e.Name, Zone: max(0, slices.Index(d.cfg.Zones, e.Zone)),
 			Kind: max(0, slices.Index(d.cfg.Kinds, e.Type)), Cell: e.Group, State: state, Weight: e.Weight,
 			Started: time.Duration(e.SinceMS) * time.Millisecond}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -96,6 +96,17 @@
 	r.buf, r.start = nil, 0
 }
 
+// Unread is what was read and not used: the beginning of the next message, or whole ones. It is good until the next call.
+func (r *Reader) Unread() []byte { return r.buf[r.start:] }
+
+// Put makes a Reader that has read nothing yet begin with what another one left unread.
+func (r *Reader) Put(b []byte) {
+	r.buf = append(make([]byte, 0, max(usualBuffer, len(b))), b...)
+	if n := cap(r.buf) - usualBuffer; n > 0 && r.Memory != nil {
+		r.Memory.Force(int64(n))
+	}
+}
+
 // Partial tells whether a message has begun and not ended.
 func (r *Reader) Partial() bool { return r.start < len(r.buf) }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -17,6 +17,7 @@
 	"snowhall/internal/front/control"
 	"snowhall/internal/front/resp2"
 	"snowhall/internal/gate"
+	"snowhall/internal/handover"
 	"snowhall/internal/loop"
 	"snowhall/internal/membership"
 	"snowhall/internal/membership/discovery"
@@ -55,6 +56,11 @@
 // NewCore makes the core of a front door, or of one pool of it, with its sides: connections to backends, the counter and
 // the platform's discovery.
 func NewCore(l *loop.Loop, cfg *Config, parts Parts, log *slog.Logger) (*core.Core, error) {
+	c, _, err := newCore(l, cfg, parts, log)
+	return c, err
+}
+
+func newCore(l *loop.Loop, cfg *Config, parts Parts, log *slog.Logger) (*core.Core, *discovery.Watch, error) {
 	var tr *trace.Log
 	if cfg.Trace != nil {
 		tr = trace.New(cfg.Trace, l.Now)
@@ -62,7 +68,7 @@
 	c, err := core.New(l, core.Config{Trace: tr, Name: cfg.Name, Gate: parts.Gate, Memory: parts.Memory, Clients: parts.Clients, Observe: parts.Observe,
 		Start: cfg.Rules(), Seed: cfg.Seed, Figures: parts.Figures}, log)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	told := c.Listed
 	if parts.Tell != nil {
@@ -80,14 +86,15 @@
 	if parts.Cap != nil {
 		up.Cap = func(addr string) *budget.Cap { return parts.Cap(c, addr) }
 	}
+	watch := discovery.New(l, log, discovery.Config{Addr: cfg.Discovery, Known: cfg.Known, Zones: cfg.Transport.Zones,
+		Kinds: cfg.Transport.Kinds, Doors: cfg.Settings.Doors, Seed: cfg.Seed}, told)
 	c.Connect(
 		upstream.New(l, up, c.Probed),
 		counter.New(l, counter.Config{Addr: cfg.Counter, Space: parts.Space, Enabled: cfg.Settings.Counter,
 			Timeout: cfg.Settings.CounterTimeout, DialTimeout: cfg.Transport.DialTimeout,
 			Trace: tr, Late: func(ev snowhall.Late) { c.Tell(ev) }}, c.Counted),
-		discovery.New(l, log, discovery.Config{Addr: cfg.Discovery, Known: cfg.Known, Zones: cfg.Transport.Zones,
-			Kinds: cfg.Transport.Kinds, Doors: cfg.Settings.Doors, Seed: cfg.Seed}, told))
-	return c, nil
+		watch)
+	return c, watch, nil
 }
 
 // ClientMemory is how many bytes of a memory limit clients may make a process hold.
@@ -113,10 +120,14 @@
 // Platform is the lean front door that the platform runs: one core, one RESP2 listener.
 type Platform struct {
 	*core.Core
-	env       *core.Env
-	cfg       *Config
-	log       *slog.Logger
-	bans      *bans
+	env   *core.Env
+	cfg   *Config
+	log   *slog.Logger
+	bans  *bans
+	watch *discovery.Watch
+
+	predecessor *handover.Link // hands over connections; nil: there is none
+
 	listening atomic.Bool // clients' connections are taken
 	inUse     *Config     // what was last taken by Reload, or cfg. Reload's
 }
@@ -124,11 +135,12 @@
 // NewPlatform makes one. It takes no connection before Serve.
 func NewPlatform(cfg *Config, log *slog.Logger) (*Platform, error) {
 	l := loop.New()
-	c, err := NewCore(l, cfg, Parts{Figures: figures.New()}, log)
+	c, watch, err := newCore(l, cfg, Parts{Figures: figures.New()}, log)
 	if err != nil {
 		return nil, err
 	}
-	return &Platform{Core: c, bans: newBans(c, cfg.Dir, log), env: NewEnv(l, cfg.MemoryMB, cfg.Sockets, c), cfg: cfg, inUse: cfg, log: log}, nil
+	return &Platform{Core: c, bans: newBans(c, cfg.Dir, log), watch: watch, env: NewEnv(l, cfg.MemoryMB, cfg.Sockets, c), cfg: cfg,
+		inUse: cfg, log: log}, nil
 }
 
 // Reload takes another configuration while the front door serves, whole or not at all: the rules, and the addresses of
@@ -155,10 +167,13 @@
 // at the other listener; nil: nowhere.
 func (p *Platform) Serve(ctx context.Context, ln, operators net.Listener) {
 	p.log.Info("serving", "listen", ln.Addr(), "backends", len(p.cfg.Known.Endpoints))
+	clients := resp2.New(p.env, resp2.Config{}, ln, p.log)
 	if operators != nil {
-		following, stop := context.WithCancel(context.Background())
+		beside, stop := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
-		wg.Go(func() { p.bans.follow(following) })
+		wg.Go(func() { p.bans.follow(beside) })
+		wg.Go(func() { p.adopt(beside, clients) })
+		wg.Go(func() { p.offers(beside, ctx, ln, clients) })
 		defer wg.Wait()
 		defer stop()
 		f := control.New(operators, calls{p}, p.log)
@@ -166,5 +181,5 @@
 		defer f.Close()
 	}
 	p.listening.Store(true)
-	p.Run(ctx, resp2.New(p.env, resp2.Config{}, ln, p.log))
+	p.Run(ctx, clients)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -183,6 +183,9 @@
 	}
 }
 
+// Most bounds the connections from now on. Those that there are beyond it end as they are given up.
+func (bs *Pool) Most(n int) { bs.cfg.Most = n }
+
 // Hold keeps all from a backend that is not yet written, whatever the list says, or lets it through again. Nothing waits for a
 // connection to it any more when Hold returns.
 func (bs *Pool) Hold(name string, on bool) {
--- a/many.go
+++ b/many.go
@@ -98,7 +98,7 @@
 		c.owed -= c.tokens
 		c.tokens = 0
 	}
-	c.spare, c.spareAt = min(max(c.spare, least, p.Burst/c.doors), c.spare+p.Rate/c.doors*(d.now-c.spareAt).Seconds()), d.now
+	c.spare, c.spareAt = min(max(c.spare, least, p.Burst/c.doors), c.spare+p.Rate/c.doors*d.since(c.spareAt)), d.now
 }
 
 // spendFew is spend where doors are many.
--- a/state.go
+++ b/state.go
@@ -180,6 +180,7 @@
 	servers    map[string]*server
 	ring       []*server
 	byHand     map[string]time.Duration // servers that are taken out by hand, since when
+	away       bool                     // another door has taken this one's place
 	turn       int
 	sized      int // servers by which members were last found
 	queued     int // requests in all queues
@@ -383,6 +384,10 @@
 			d.detach(ev)
 		case Attach:
 			d.attach(ev.Backend)
+		case Leave:
+			d.leave()
+		case Recall:
+			d.recall(ev.Memory)
 		case Retune:
 			d.tuned(ev.Settings, ev.From)
 		case Gone:
