Long values are passed on as they come, up to 4 MiB, with one buffer each

The reader of the backend copies to the client at the pace of the slower; the module hears of the first byte, frees the server's slot and sets no deadline. Tests: pieces, back-pressure, each bad end.

--- a/door.go
+++ b/door.go
@@ -268,10 +268,6 @@
 		}
 	}
 	r.paid = r.level < bands
-	if p.AtOnce > 0 {
-		r.live = true
-		c.live++
-	}
 	d.hold(r, from)
 	return paid
 }
@@ -300,10 +296,7 @@
 		d.refuse(r, d.refill(r.c, p, r.units), OverQuota)
 		return
 	}
-	if r.level = lowest; p.AtOnce > 0 {
-		r.live = true
-		r.c.live++
-	}
+	r.level = lowest
 	d.hold(r, from)
 	d.place(r)
 }
@@ -845,10 +838,12 @@
 	a.open = false
 	r.out--
 	s := a.s
-	s.outs = slices.DeleteFunc(s.outs, func(o *attempt) bool { return o == a })
-	if s.load -= r.size; len(s.outs) == 0 {
-		s.load = 0
+	if a.begun {
+		d.end(r)
+		d.forget(r)
+		return
 	}
+	s.done(a)
 	if !r.ran && ev.Status != Full && ev.Status != ConnectFailed && ev.Status != Moot {
 		r.ran, r.ranAt, r.ranOn = true, a.at, s
 	}
@@ -867,6 +862,20 @@
 	d.fill(s)
 }
 
+// began takes the first byte of a streamed answer: the server's work is done, and how long it takes to pass
+// the rest on says nothing of it.
+func (d *Door) began(ev FirstByte) {
+	r := d.reqs[ev.ID]
+	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) || !r.attempts[ev.Attempt].open || r.stream {
+		return
+	}
+	a := r.attempts[ev.Attempt]
+	r.stream, a.begun, r.ran, r.ranAt, r.ranOn = true, true, true, a.at, a.s
+	a.s.done(a)
+	d.learn(a.s, a, Outcome{Status: OK, Latency: d.now - a.at})
+	d.fill(a.s)
+}
+
 // retry sends a request on again where its class allows it and an answer could still be in time.
 func (d *Door) retry(r *request) {
 	if len(r.attempts) >= r.most || (d.now-r.at).Seconds()+d.latency(r, nil) >= r.tau.Seconds() {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -70,12 +70,33 @@
 	leaving  bool // the Door has not yet heard that its client has left
 }
 
+// Streamer is a Caller that takes long values as they come. Others are answered as failed.
+type Streamer interface {
+	// Stream says that a value of so many bytes comes. The final answer still comes by Answer: Served, with no Value, when it
+	// is whole, and else another one, of which the client has to be told, or shown by an end of its connection.
+	Stream(size int) upstream.Sink
+}
+
+// Begun implements [upstream.Owner]. From here on the request has no deadline and no further attempt.
+func (a *attempt) Begun(size int) upstream.Sink {
+	to, ok := a.r.Caller.(Streamer)
+	if !ok || a.r.ended {
+		return nil
+	}
+	a.r.overdue.Stop()
+	a.begun = true
+	a.c.Tell(snowhall.FirstByte{ID: a.r.id, Attempt: a.no})
+	return to.Stream(size)
+}
+
 // attempt is one try of a request.
 type attempt struct {
 	upstream.Attempt
 	c  *Core
 	r  *Request
 	no int
+
+	begun bool // a long value came, or a part of it
 }
 
 // Command implements [upstream.Owner].
@@ -85,13 +106,15 @@
 func (a *attempt) Ended(res upstream.Result) {
 	if res.Status == snowhall.OK {
 		a.c.answer(a.r, Answer{Verdict: Served, Value: res.Value})
+	} else if a.begun { // nothing else may be answered
+		a.c.answer(a.r, Answer{Verdict: Failed})
 	}
 	a.r.out--
 	if a.c.Trace.On() {
 		a.c.Trace.Line("attempt", "id=%d no=%d class=%d to=%s status=%d took=%.1f", a.r.id, a.no, a.r.Class, a.Backend, res.Status, trace.MS(a.c.Now()-a.At))
 	}
 	a.c.Tell(snowhall.Outcome{ID: a.r.id, Attempt: a.no, Backend: a.Backend, Status: res.Status,
-		Latency: a.c.Now() - a.At, Closed: a.r.ended, Used: res.Used})
+		Latency: a.Took(a.c.Now()), Closed: a.r.ended, Used: res.Used})
 	a.c.forget(a.r)
 }
 
--- a/internal/front/resp2/client.go
+++ b/internal/front/resp2/client.go
@@ -43,6 +43,7 @@
 	ask    *ask  // nil for what the front door answers by itself
 	cost   int64 // taken from the budget until it is answered
 	mem    *budget.Bytes
+	stream *stream // that passes a long value on; nil: there is none
 }
 
 // client is one connection of a client.
@@ -319,6 +320,15 @@
 		return
 	}
 	s.answer, s.ready, s.ask = line, true, nil
+	if s.stream != nil && s.stream.begun {
+		if line != nil { // nothing else can be said in the middle of a value: the end of the connection says it
+			c.close()
+			return
+		}
+		c.writing = false
+		c.nc.SetWriteDeadline(time.Time{}) // else the answers to come would meet it
+	}
+	c.room.Broadcast() // for a stream whose request is over
 	for len(c.slots) > 0 && c.slots[0].ready {
 		first := c.slots[0]
 		c.out = append(c.out, first.answer...)
@@ -335,6 +345,8 @@
 		c.close()
 	} else if len(c.out) > 0 && !c.writing && !c.closed {
 		c.writeSome()
+	} else {
+		c.closeIfIdle()
 	}
 }
 
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -27,6 +27,7 @@
 var (
 	ErrMalformed = errors.New("malformed RESP")
 	ErrNoMemory  = errors.New("no memory left for a message")
+	ErrLong      = errors.New("a message that begins with a long value") // see Reader.Long
 )
 
 // Reader reads whole RESP messages. Redcon's own reader takes any length that the other side names and
@@ -35,6 +36,7 @@
 	From   io.Reader
 	Memory *budget.Bytes // for what goes beyond the usual buffer; nil: unbounded
 	Most   int           // bytes of a value; 0: MostValue
+	Longer int           // bytes of a value that an array may begin with, if it is longer than Most; 0: none is
 	buf    []byte
 	start  int // of what is not yet used
 }
@@ -44,6 +46,9 @@
 	mostValue := cmp.Or(r.Most, MostValue)
 	mostMessage := mostValue + mostBeside
 	for {
+		if r.long() {
+			return redcon.RESP{}, ErrLong
+		}
 		if n, err := frame(r.buf[r.start:], 2, mostValue); err != nil {
 			return redcon.RESP{}, err
 		} else if n > 0 {
@@ -96,6 +101,61 @@
 	r.buf, r.start = nil, 0
 }
 
+// long says that the next message is an array that begins with a bulk string longer than Most, and not than Longer.
+func (r *Reader) long() bool {
+	_, _, size := r.head()
+	return size > cmp.Or(r.Most, MostValue) && size <= r.Longer
+}
+
+// head reads the beginning of an array whose first item is a bulk string: the bytes that it takes, the items of the array and
+// the string's size; 0 where there is no such, or not yet.
+func (r *Reader) head() (taken, items, size int) {
+	b := r.buf[r.start:]
+	if r.Longer == 0 || len(b) == 0 || b[0] != redcon.Array {
+		return 0, 0, 0
+	}
+	b = b[:min(len(b), 2*mostHeader)]
+	items, n := length(b, redcon.Array)
+	if n == 0 || items < 1 || items > mostItems {
+		return 0, 0, 0
+	}
+	size, m := length(b[n:], redcon.Bulk)
+	if m == 0 || size < 0 {
+		return 0, 0, 0
+	}
+	return n + m, items, size
+}
+
+// length reads a line such as $12 and returns the number and the bytes of the line; 0 where it is none, or not yet whole.
+func length(b []byte, kind redcon.Type) (number, taken int) {
+	end := bytes.IndexByte(b, '\n')
+	if end < 3 || redcon.Type(b[0]) != kind || b[end-1] != '\r' {
+		return 0, 0
+	}
+	n, err := strconv.Atoi(string(b[1 : end-1]))
+	if err != nil {
+		return 0, 0
+	}
+	return n, end + 1
+}
+
+// Long takes the beginning of a message for which Next returned ErrLong: the items of the array and the size of the first. The
+// caller reads that and its end of line by ReadLong, and each further item by Next.
+func (r *Reader) Long() (items, size int) {
+	n, items, size := r.head()
+	r.start += n
+	return items, size
+}
+
+// ReadLong reads some of a long value into b, what was read already first.
+func (r *Reader) ReadLong(b []byte) (int, error) {
+	if n := copy(b, r.buf[r.start:]); n > 0 {
+		r.start += n
+		return n, nil
+	}
+	return r.From.Read(b)
+}
+
 // Unread is what was read and not used: the beginning of the next message, or whole ones. It is good until the next call.
 func (r *Reader) Unread() []byte { return r.buf[r.start:] }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -25,7 +26,10 @@
 
 const (
 	idleShare    = 0.6                    // of the time after which a backend closes an idle connection: closed here before
-	mostValue    = 512 << 10              // bytes of an answer's value: backends send more than the 64 KiB that they state
+	mostLong     = 4 << 20                // bytes of an answer's value; from resp.MostValue on it is passed on as it comes
+	longBuffer   = 32 << 10               // ... by so many at most at a time,
+	longLeast    = 4 << 10                // or so many, where the budget for them is used up
+	longStalled  = 5 * time.Second        // a long value that has begun and then stops for so long is given up: the default
 	stalledAfter = 250 * time.Millisecond // an answer that has begun and then stops for so long has a wrong length
 )
 
@@ -38,20 +42,27 @@
 	timeout *loop.Timer
 	conn    *conn
 	ended   bool
+	first   time.Duration // when a long value began to come; 0: none has
 }
 
 // Owner is what an attempt is made for. The loop goroutine calls it.
 type Owner interface {
 	// Command is the whole command for the backend, which tells it how long this side will wait.
 	Command(wait time.Duration) []byte
+	// Begun says that a long value of so many bytes comes, which is to be passed on piece by piece; nil: nobody wants it.
+	Begun(size int) Sink
 	// Ended takes the one outcome of the attempt.
 	Ended(Result)
 }
 
+// Sink takes a long value, as a bulk string with its head and its end of line. Write waits until the piece is taken. One
+// goroutine calls it, which is not the loop's.
+type Sink interface{ Write([]byte) error }
+
 // Result is the outcome of an attempt.
 type Result struct {
 	Status snowhall.Status
-	Value  []byte // with OK: the value as a RESP2 bulk string
+	Value  []byte // with OK: the value as a RESP2 bulk string; nil: the Sink has it
 	Used   int    // 1 + percent of the quota used; 0: not told
 }
 
@@ -76,6 +87,7 @@
 	Trace *trace.Log
 	// Written is told of each attempt whose last byte is written, by any goroutine; nil: nobody asks.
 	Written func(uint64) uint64
+	Stall   time.Duration // a long value that stops for so long is given up; 0: 5 s
 	Values  *budget.Bytes // for what long answers hold while they come in; nil: unbounded
 	Places  *budget.Party // of the connections that a process with several pools may have; nil: Most alone holds
 	// Cap joins a server's bound on connections, which pools share; nil: none is known.
@@ -111,10 +123,13 @@
 	sent    atomic.Int32 // how far the command is that was last given to it
 	broken  atomic.Bool  // its reader has ended
 	spoilt  atomic.Bool  // ... since what came is no answer
-	asked   atomic.Int32 // commands given to it
-	in      *resp.Reader // the reader's
-	got     int32        // the reader's: answers read
-	timed   bool         // the reader's: a read deadline is set
+	// unwanted: ... or since nobody takes what comes.
+	unwanted atomic.Bool
+	asked    atomic.Int32 // commands given to it
+	in       *resp.Reader // the reader's
+	got      int32        // the reader's: answers read
+	timed    bool         // the reader's: a read deadline is set
+	long     bool         // the reader's: a long value comes in
 }
 
 // States of conn.sent.
@@ -480,10 +495,16 @@
 		c.nc = nc
 		c.start()
 	})
-	c.in = &resp.Reader{From: reader{c, nc}, Most: mostValue, Memory: c.p.cfg.Values}
+	c.in = &resp.Reader{From: reader{c, nc}, Longer: mostLong, Memory: c.p.cfg.Values}
 	defer c.in.Release()
 	for {
 		m, err := c.in.Next()
+		var r reply
+		if err == resp.ErrLong {
+			r, err = c.pass()
+		} else if err == nil {
+			r = readReply(m)
+		}
 		if err != nil {
 			c.spoilt.Store(errors.Is(err, resp.ErrMalformed) || errors.Is(err, errUnasked) ||
 				errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, resp.ErrNoMemory))
@@ -493,9 +514,8 @@
 			}
 			return
 		}
-		r := readReply(m)
 		c.got++
-		r.surplus = c.in.Partial()
+		r.surplus = r.surplus || c.in.Partial()
 		c.p.l.Post(func() { c.p.answered(c, r) })
 	}
 }
@@ -511,7 +531,10 @@
 
 func (r reader) Read(b []byte) (int, error) {
 	c := r.c
-	if c.in.Partial() {
+	if c.long {
+		r.nc.SetReadDeadline(time.Now().Add(cmp.Or(c.p.cfg.Stall, longStalled)))
+		c.timed = true
+	} else if c.in.Partial() {
 		r.nc.SetReadDeadline(time.Now().Add(stalledAfter))
 		c.timed = true
 	} else if c.timed {
@@ -577,7 +600,9 @@
 		bs.closeIdle(c.b, c.idleAt) // what has been idle for longer is no better
 	}
 	status := snowhall.Reset
-	if c.spoilt.Load() {
+	if c.unwanted.Load() {
+		status = snowhall.Cancelled
+	} else if c.spoilt.Load() {
 		status = snowhall.Failed
 	} else if c.sent.Load() != whole {
 		status = snowhall.ConnectFailed
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -44,13 +44,21 @@
 	pool   *Pool
 	events []snowhall.Status // outcomes
 	probed []snowhall.Probed
+	sink   *sink // of long values; nil: nobody wants them
 }
 
 // owner is what the attempts of a rig are made for.
 type owner struct{ f *rig }
 
 func (o owner) Command(time.Duration) []byte { return []byte("*1\r\n$5\r\nQ.ASK\r\n") }
-func (o owner) Ended(r Result)               { o.f.events = append(o.f.events, r.Status) }
+func (o owner) Begun(size int) Sink {
+	if o.f.sink == nil {
+		return nil
+	}
+	o.f.sink.size = size
+	return o.f.sink
+}
+func (o owner) Ended(r Result) { o.f.events = append(o.f.events, r.Status) }
 
 // idle is a pool that knows the given backends.
 func idle(t *testing.T, addrs ...string) *rig {
--- a/many.go
+++ b/many.go
@@ -53,7 +53,7 @@
 // decide most: a client's repeat was refused before, mostly for good reason, and a promotion only helps while servers are short.
 func (d *Door) mayAsk(r *request, leaves float64) bool {
 	c := r.c
-	if r.asked || d.now < max(c.emptyUntil, c.pauseUntil) || len(d.asks) >= mostAsks {
+	if d.away || r.asked || d.now < max(c.emptyUntil, c.pauseUntil) || len(d.asks) >= mostAsks {
 		return false
 	}
 	if r.retry {
--- a/state.go
+++ b/state.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"snowhall/ceiling"
@@ -60,6 +61,7 @@
 	at    time.Duration
 	trial bool
 	open  bool
+	begun bool // its answer has begun to come: the server has done its work
 }
 
 type request struct {
@@ -395,9 +397,7 @@
 				d.end(r)
 			}
 		case FirstByte:
-			if r := d.reqs[ev.ID]; r != nil {
-				r.stream = true
-			}
+			d.began(ev)
 		}
 	}
 	return d.acts
@@ -463,8 +463,12 @@
 	}
 }
 
-// hold keeps units of the ceiling for a queued request; release gives them back.
+// hold counts a request as open where its plan bounds that, and keeps units of the ceiling for it; release gives these back.
 func (d *Door) hold(r *request, from payer) {
+	if d.set.Plans[r.plan].AtOnce > 0 {
+		r.live = true
+		r.c.live++
+	}
 	r.ceilHeld, r.pays, r.lease = true, from, 0
 	switch from {
 	case fromShare:
@@ -676,6 +680,14 @@
 	return some
 }
 
+// done takes an attempt off its server.
+func (s *server) done(a *attempt) {
+	s.outs = slices.DeleteFunc(s.outs, func(o *attempt) bool { return o == a })
+	if s.load -= a.r.size; len(s.outs) == 0 {
+		s.load = 0
+	}
+}
+
 // timer takes the request's own timer, the tick and the list's.
 func (d *Door) timer(cookie uint64) {
 	if cookie == 0 {
