--- a/internal/upstream/values_test.go
+++ b/internal/upstream/values_test.go
@@ -93,7 +93,7 @@
 	b.Write(fmt.Sprintf("*3\r\n$%d\r\n%s", 2*half, strings.Repeat("v", half)))
 	peer.Pump(t, f.Loop, func() bool { return a.first > 0 })
 	f.sink.wait <- struct{}{} // the first piece
-	for range 8 { // what is read is no more than the pieces that were taken and one buffer
+	for range 8 {             // what is read is no more than the pieces that were taken and one buffer
 		select {
 		case f.sink.wait <- struct{}{}:
 		default:
