--- /dev/null
+++ b/cmd/gapgap/upgrade_test.go
@@ -0,0 +1,694 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"snowhall/internal/handover"
+	"snowhall/internal/standin/catalog"
+	"snowhall/internal/standin/flagserver"
+	"snowhall/internal/standin/peer"
+)
+
+// binary is the real program, built once.
+var binary = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "gapgap")
+	if err != nil {
+		return "", err
+	}
+	if out, err := exec.Command("go", "build", "-o", dir, ".").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return filepath.Join(dir, "gapgap"), nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if b, err := binary(); err == nil {
+		os.RemoveAll(filepath.Dir(b))
+	}
+	os.Exit(code)
+}
+
+const (
+	ceilingRate  = 200.0
+	ceilingDepth = 100.0
+)
+
+// node is a front door's machine: processes of the real program come and go on it.
+type node struct {
+	t       *testing.T
+	dir     string
+	file    string
+	listen  string
+	servers []*flagserver.Server
+	agent   *catalog.Agent
+	env     []string
+}
+
+// process is one process of it.
+type process struct {
+	n       *node
+	cmd     *exec.Cmd
+	control string
+	log     *lockedLog
+	ended   chan error
+}
+
+type lockedLog struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *lockedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func newNode(t *testing.T, backends int, cfg flagserver.Config) *node {
+	t.Helper()
+	n := &node{t: t, dir: t.TempDir(), listen: peer.FreeAddr(t)}
+	var list []catalog.Endpoint
+	for i := range backends {
+		s, err := flagserver.Start(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		n.servers = append(n.servers, s)
+		list = append(list, catalog.Serving(fmt.Sprint("s-", i), s.Addr()))
+	}
+	agent, err := catalog.Start(list...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Close)
+	n.agent = agent
+	class := func(name, effect string) map[string]any {
+		return map[string]any{"name": name, "effect": effect, "group": "all", "window-us": 12000000, "worth": 1.0, "target-us": 3000000, "give-up-us": 3000000}
+	}
+	text, _ := json.Marshal(map[string]any{"name": "n1", "listen": n.listen, "discovery": agent.Addr(), "seed": "1",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 384},
+		"settings": map[string]any{"peers-total": 1, "resolution-us": 4000, "areas": []string{"dc1"}, "kinds": []string{"std"},
+			"limits": map[string]any{"max-attempts": 3, "cancel": true, "may-probe": true, "retry-after": true, "max-retry-after-us": 1000000,
+				"dial-timeout-us": 1000000, "conn-idle-us": 30000000},
+			"obligations": map[string]any{"stop-sending-within-us": 250000, "fall-multiple": 3.0, "fall-us": 3000000, "cold-from": 0.26, "warm-within-us": 15000000},
+			"specifics":   map[string]any{"max-units": 1},
+			"classes":     []any{class("evaluate", "safe"), class("change", "keyed")},
+			"tiers-of-service": []any{map[string]any{"name": "open", "value-factor": 1.0},
+				map[string]any{"name": "capped", "value-factor": 1.0, "never-over-rate": ceilingRate, "cap-depth": ceilingDepth}}}})
+	n.file = filepath.Join(n.dir, "config.json")
+	if err := os.WriteFile(n.file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// start starts one more process.
+func (n *node) start() *process {
+	n.t.Helper()
+	bin, err := binary()
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	p := &process{n: n, control: peer.FreeAddr(n.t), log: &lockedLog{}, ended: make(chan error, 1), cmd: exec.Command(bin)}
+	p.cmd.Env = append([]string{"NODE_CONFIG=" + n.file, "NODE_CONTROL=" + p.control, "TMPDIR=" + n.dir, "PATH=" + os.Getenv("PATH")}, n.env...)
+	p.cmd.Stderr = p.log
+	if err := p.cmd.Start(); err != nil {
+		n.t.Fatal(err)
+	}
+	go func() { p.ended <- p.cmd.Wait() }()
+	n.t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		if n.t.Failed() {
+			n.t.Logf("process %d:\n%s", p.cmd.Process.Pid, p.log)
+		}
+	})
+	return p
+}
+
+// call is an operator's call; an error says that nobody answers.
+func (p *process) call(line string) (string, error) {
+	nc, err := net.Dial("tcp", p.control)
+	if err != nil {
+		return "", err
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(peer.Patient))
+	io.WriteString(nc, line+"\n")
+	b, err := io.ReadAll(nc)
+	return string(b), err
+}
+
+// ready waits for the process's yes.
+func (p *process) ready() {
+	p.n.t.Helper()
+	for limit := time.Now().Add(peer.Patient); time.Now().Before(limit); time.Sleep(2 * time.Millisecond) {
+		if got, err := p.call("PING"); err == nil && got == "YES\n" {
+			return
+		}
+		select {
+		case err := <-p.ended:
+			p.n.t.Fatalf("it has ended: %v\n%s", err, p.log)
+		default:
+		}
+	}
+	p.n.t.Fatalf("no yes\n%s", p.log)
+}
+
+// end sends SIGTERM and waits for a good end.
+func (p *process) end() {
+	p.n.t.Helper()
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-p.ended:
+		if err != nil {
+			p.n.t.Errorf("it ended with %v", err)
+		}
+	case <-time.After(peer.Patient):
+		p.n.t.Error("it does not end")
+	}
+}
+
+func (p *process) kill() {
+	p.cmd.Process.Kill()
+	<-p.ended
+}
+
+// says waits for a line of its log.
+func (p *process) says(want string) {
+	p.n.t.Helper()
+	for limit := time.Now().Add(peer.Patient); !strings.Contains(p.log.String(), want); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(limit) {
+			p.n.t.Fatalf("no %q in\n%s", want, p.log)
+		}
+	}
+}
+
+// client is one connection of a client.
+type client struct {
+	nc net.Conn
+	in *bufio.Reader
+}
+
+func (n *node) dial() (*client, error) {
+	nc, err := net.Dial("tcp", n.listen)
+	if err != nil {
+		return nil, err
+	}
+	nc.SetDeadline(time.Now().Add(time.Minute))
+	return &client{nc, bufio.NewReader(nc)}, nil
+}
+
+// ask sends a request and returns the first line of its answer.
+func (c *client) ask(args ...string) (string, error) {
+	if _, err := io.WriteString(c.nc, peer.Command(args...)); err != nil {
+		return "", err
+	}
+	line, err := c.in.ReadString('\n')
+	if err != nil {
+		return "", err
+	}
+	if line[0] != '$' {
+		return line, nil
+	}
+	size, err := strconv.Atoi(strings.TrimSpace(line[1:]))
+	if err == nil {
+		_, err = c.in.Discard(size + 2)
+	}
+	return line, err
+}
+
+// load is clients that ask without a pause, each on a connection that it keeps.
+type load struct {
+	n      *node
+	stop   chan struct{}
+	wg     sync.WaitGroup
+	id     atomic.Int64
+	mu     sync.Mutex
+	served map[string]bool // ids
+	capped int             // of them, under the ceiling
+	busy   int
+	failed []string
+}
+
+func (n *node) load(clients int) *load {
+	l := &load{n: n, stop: make(chan struct{}), served: map[string]bool{}}
+	for i := range clients {
+		l.wg.Go(func() { l.run(i) })
+	}
+	return l
+}
+
+func (l *load) run(i int) {
+	c, err := l.n.dial()
+	if err != nil {
+		l.fail("dial", err)
+		return
+	}
+	defer func() { c.nc.Close() }()
+	customer := fmt.Sprintf("%016x", i)
+	for n := 0; ; n++ {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		id := fmt.Sprint(l.id.Add(1))
+		name, list, body := "Q.ASK", "c=evaluate,t=open,d=3000,units=1,spread=1,first=0", []string(nil)
+		capped := i%4 == 0
+		switch {
+		case capped:
+			customer, list = "00000000000000ff", "c=evaluate,t=capped,d=3000,units=1,spread=1,first=0"
+		case i%4 == 1:
+			name, list, body = "Q.DO", "c=change,t=open,d=3000,k="+id+",units=1,spread=1,first=0", []string{"body"}
+		}
+		line, err := c.ask(append([]string{name, customer, id, list}, body...)...)
+		l.mu.Lock()
+		switch {
+		case err != nil:
+			l.failed = append(l.failed, fmt.Sprintf("client %d, request %s: %v", i, id, err))
+		case line[0] == '$':
+			l.served[id] = true
+			if capped {
+				l.capped++
+			}
+		case strings.HasPrefix(line, "-BUSY"):
+			l.busy++
+		default:
+			l.failed = append(l.failed, fmt.Sprintf("client %d, request %s: %q", i, id, line))
+		}
+		l.mu.Unlock()
+		if err != nil {
+			return
+		}
+		if line[0] != '$' {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if n%50 == 49 { // and new connections come too
+			c.nc.Close()
+			if c, err = l.n.dial(); err != nil {
+				l.fail("dial", err)
+				return
+			}
+		}
+	}
+}
+
+func (l *load) fail(what string, err error) {
+	l.mu.Lock()
+	l.failed = append(l.failed, fmt.Sprintf("%s: %v", what, err))
+	l.mu.Unlock()
+}
+
+// more waits until so many more requests are served.
+func (l *load) more(n int) {
+	l.n.t.Helper()
+	count := func() int {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.served)
+	}
+	for from, limit := count(), time.Now().Add(peer.Patient); count() < from+n; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			l.n.t.Fatalf("%d served, %d wanted; failed: %q", count()-from, n, l.failed)
+		}
+	}
+}
+
+func (l *load) end() {
+	close(l.stop)
+	l.wg.Wait()
+	for _, f := range l.failed {
+		l.n.t.Error(f)
+	}
+}
+
+// Twenty upgrades under load: every request gets its one answer on the connection on which it was sent, no keyed one has its
+// effect twice, the ceiling holds over the pair, and a ban by hand over all the processes.
+func TestUpgradesUnderLoad(t *testing.T) {
+	n := newNode(t, 3, flagserver.Config{Delay: 15 * time.Millisecond, Keep: true})
+	began := time.Now()
+	p := n.start()
+	p.ready()
+	l := n.load(16)
+	l.more(100)
+	var banned, back time.Time
+	for i := range 20 {
+		if i == 4 {
+			if got, err := p.call("DETACH s-1"); got != "YES\n" {
+				t.Fatalf("%q, %v", got, err)
+			}
+			banned = time.Now()
+		}
+		next := n.start()
+		next.ready()
+		if i == 12 {
+			back = time.Now()
+			if got, err := next.call("ATTACH s-1"); got != "YES\n" {
+				t.Fatalf("%q, %v", got, err)
+			}
+		}
+		p.end()
+		p = next
+		l.more(40)
+	}
+	l.end()
+	took := time.Since(began).Seconds()
+	if most := ceilingDepth + ceilingRate*(took+0.2); float64(l.capped) > most {
+		t.Errorf("%d served under a ceiling that gives %.0f in %.1f s", l.capped, most, took)
+	}
+	if l.capped < 100 {
+		t.Errorf("%d served under the ceiling: it was not tried", l.capped)
+	}
+	times := map[string]int{}
+	for i, s := range n.servers {
+		for _, c := range s.Sent() {
+			times[c.ID]++
+			if c.Name == "Q.DO" && times[c.ID] > 1 {
+				t.Errorf("the effect of %s was done %d times", c.ID, times[c.ID])
+			}
+			if i == 1 && c.At.After(banned) && c.At.Before(back) {
+				t.Errorf("%s went to the banned backend %v after the yes", c.ID, c.At.Sub(banned))
+			}
+		}
+	}
+	for id := range l.served {
+		if times[id] == 0 {
+			t.Errorf("%s was served and no backend has seen it", id)
+		}
+	}
+	after := slices.ContainsFunc(n.servers[1].Sent(), func(s flagserver.Sent) bool { return s.At.After(back) })
+	if !after {
+		t.Error("the backend that was let in again is not used")
+	}
+	t.Logf("%d served, %d refused in %.1f s", len(l.served), l.busy, took)
+}
+
+// A connection that stands between two requests for long, one whose next request has half come, and one on which a request is
+// open: all three go on over an upgrade.
+func TestConnectionsGoOn(t *testing.T) {
+	n := newNode(t, 1, flagserver.Config{})
+	p := n.start()
+	p.ready()
+	dial := func() *peer.Peer { return peer.Dial(t, n.listen) }
+	list := "c=evaluate,t=open,d=3000,units=1,spread=1,first=0"
+	idle, half, open := dial(), dial(), dial()
+	for _, c := range []*peer.Peer{idle, half, open} {
+		c.Command("Q.ASK", peer.Customer, "0"+fmt.Sprintf("%p", c), list)
+		c.WantsPrefix("Q.ASK")
+	}
+	command := peer.Command("Q.ASK", peer.Customer, "half", list)
+	half.Write(command[:30])
+	n.servers[0].Set(flagserver.Config{Delay: 300 * time.Millisecond})
+	open.Command("Q.ASK", peer.Customer, "open", list)
+	next := n.start()
+	next.ready()
+	n.servers[0].Set(flagserver.Config{})
+	idle.Command("Q.ASK", peer.Customer, "idle", list)
+	idle.Wants("Q.ASK idle")
+	half.Write(command[30:])
+	half.Wants("Q.ASK half")
+	open.Wants("Q.ASK open")
+	p.end()
+	for _, c := range []*peer.Peer{idle, half, open} {
+		c.Command("PING")
+		c.Wants("+PONG")
+	}
+}
+
+// A new process that fails at any step leaves the old one serving; connections that it has not got stay.
+func TestNewProcessFails(t *testing.T) {
+	n := newNode(t, 2, flagserver.Config{Delay: 2 * time.Millisecond})
+	p := n.start()
+	p.ready()
+	l := n.load(4)
+	l.more(20)
+	for range 3 { // it ends before it has confirmed
+		taken, err := handover.Take(n.dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken.Listener.Close()
+		taken.Link.Close()
+		l.more(20)
+	}
+	p.says("an upgrade has not come about")
+	l.end()
+
+	idle, err := n.dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	idle.ask("PING")
+	taken, err := handover.Take(n.dir) // it ends after it has confirmed, and with it what it was handed
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := taken.Link.Confirm(); err != nil {
+		t.Fatal(err)
+	}
+	nc, _, err := taken.Link.Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	nc.Close()
+	taken.Listener.Close()
+	taken.Link.Close()
+	p.says("the other process has ended")
+	l = n.load(4)
+	l.more(40)
+	l.end()
+
+	next := n.start() // a real one, killed right after its yes
+	next.ready()
+	next.kill()
+	for limit := time.Now().Add(peer.Patient); strings.Count(p.log.String(), "the other process has ended") < 2; time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("the old process does not go on")
+		}
+	}
+	l = n.load(4)
+	l.more(40)
+	l.end()
+	last := n.start()
+	last.ready()
+	p.end()
+	l = n.load(4)
+	l.more(40)
+	l.end()
+}
+
+// The old process is killed in the middle: the new one serves, and the next upgrade works.
+func TestOldProcessKilled(t *testing.T) {
+	n := newNode(t, 2, flagserver.Config{Delay: 2 * time.Millisecond})
+	p := n.start()
+	p.ready()
+	next := n.start()
+	next.ready()
+	p.kill()
+	l := n.load(4)
+	l.more(40)
+	third := n.start() // shortly after
+	third.ready()
+	next.end()
+	l.more(40)
+	l.end()
+}
+
+// An old process that hangs, or speaks another version, does not keep the new one from serving: it starts as after a restart.
+func TestNoHandover(t *testing.T) {
+	for name, answer := range map[string]string{"hangs": "", "refuses for good": "R" + "no"} {
+		t.Run(name, func(t *testing.T) {
+			n := newNode(t, 1, flagserver.Config{})
+			door, err := handover.Listen(n.dir)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer door.Close()
+			go func() {
+				for {
+					c, err := door.AcceptUnix()
+					if err != nil {
+						return
+					}
+					if answer != "" {
+						c.Write([]byte(answer))
+					}
+				}
+			}()
+			p := n.start()
+			p.ready()
+			p.says("nothing is taken over")
+			l := n.load(2)
+			l.more(10)
+			l.end()
+		})
+	}
+	t.Run("two listen", func(t *testing.T) { // without the socket both serve, and what waits as one ends is answered
+		n := newNode(t, 1, flagserver.Config{})
+		p := n.start()
+		p.ready()
+		if err := os.Remove(filepath.Join(n.dir, "gapgap-upgrade.sock")); err != nil {
+			t.Fatal(err)
+		}
+		next := n.start()
+		next.ready()
+		for range 40 {
+			c, err := n.dial()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, err := c.ask("PING"); got != "+PONG\r\n" {
+				t.Fatalf("%q, %v", got, err)
+			}
+			c.nc.Close()
+		}
+		p.end()
+		c, err := n.dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := c.ask("PING"); got != "+PONG\r\n" {
+			t.Fatalf("%q, %v", got, err)
+		}
+	})
+}
+
+// SIGHUP in the middle of an upgrade reaches both processes, and the new settings hold.
+func TestReloadDuringUpgrade(t *testing.T) {
+	n := newNode(t, 1, flagserver.Config{})
+	p := n.start()
+	p.ready()
+	next := n.start()
+	next.ready()
+	text, err := os.ReadFile(n.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	more := strings.Replace(string(text), `"name":"evaluate"`, `"name":"weigh"`, 1)
+	if err := os.WriteFile(n.file, []byte(more), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, q := range []*process{p, next} {
+		q.cmd.Process.Signal(syscall.SIGHUP)
+		for limit := time.Now().Add(peer.Patient); ; time.Sleep(2 * time.Millisecond) {
+			if got, _ := q.call("INFO"); strings.Contains(got, "svc.cfg_accepted=1\n") {
+				break
+			}
+			if time.Now().After(limit) {
+				t.Fatal("the file is not taken")
+			}
+		}
+	}
+	p.end()
+	c, err := n.dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := c.ask("Q.ASK", peer.Customer, "1", "c=weigh,t=open,d=3000,units=1,spread=1,first=0"); err != nil || got[0] != '$' {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+// resident is the memory that a process holds and the most that it held, in MB.
+func (p *process) resident() (now, most int) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		p.n.t.Fatal(err)
+	}
+	for line := range strings.Lines(string(b)) {
+		f := strings.Fields(line)
+		if len(f) == 3 && (f[0] == "VmRSS:" || f[0] == "VmHWM:") {
+			kb, _ := strconv.Atoi(f[1])
+			if f[0] == "VmRSS:" {
+				now = kb >> 10
+			} else {
+				most = kb >> 10
+			}
+		}
+	}
+	return now, most
+}
+
+// Sixty values of 4 MiB at once, which no client reads to the end for now, stay within the memory that the front door is told,
+// though they are four times as much; and one that is half read goes on over an upgrade.
+func TestManyLongValuesAtOnce(t *testing.T) {
+	const size, clients = 4 << 20, 60
+	n := newNode(t, 2, flagserver.Config{Value: strings.Repeat("v", size)})
+	p := n.start()
+	p.ready()
+	all := make([]*client, clients)
+	var wg sync.WaitGroup
+	for i := range all {
+		c, err := n.dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.nc.Close()
+		c.nc.(*net.TCPConn).SetReadBuffer(64 << 10)
+		all[i] = c
+		io.WriteString(c.nc, peer.Command("Q.ASK", peer.Customer, fmt.Sprint(i), "c=evaluate,t=open,d=3000,units=1,spread=1,first=0"))
+	}
+	started := 0
+	for _, c := range all {
+		line, err := c.in.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		if line == fmt.Sprintf("$%d\r\n", size) {
+			started++
+		} else if !strings.HasPrefix(line, "-BUSY") {
+			t.Errorf("%q", line)
+		}
+	}
+	if _, most := p.resident(); most > 48 || started < clients/2 {
+		t.Errorf("%d MB for %d of %d values of 4 MiB", most, started, clients)
+	}
+	next := n.start()
+	next.ready()
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	for _, c := range all {
+		wg.Go(func() { io.CopyN(io.Discard, c.in, size+2) })
+	}
+	wg.Wait()
+	select {
+	case err := <-p.ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(peer.Patient):
+		t.Error("the old process does not end")
+	}
+	whole := 0
+	for _, c := range all { // each connection is good for more, at the new process
+		c.nc.SetDeadline(time.Now().Add(peer.Patient))
+		if got, err := c.ask("PING"); err == nil && got == "+PONG\r\n" {
+			whole++
+		}
+	}
+	if whole != clients {
+		t.Errorf("%d of %d connections have gone over", whole, clients)
+	}
+}
--- a/handover.go
+++ b/handover.go
@@ -140,7 +140,8 @@
 			d.callShare = min(1, max(callsLeast, cmp.Or(m.CallShare, 1)))
 		}
 		for i, k := range m.Classes {
-			if l := &d.learned[i]; i < len(d.learned) && k.Answers > 0 && k.Base > 0 {
+			if i < len(d.learned) && k.Answers > 0 && k.Base > 0 {
+				l := &d.learned[i]
 				l.base, l.floor, l.answers = k.Base, k.Floor, k.Answers
 			}
 		}
--- /dev/null
+++ b/handover_test.go
@@ -0,0 +1,205 @@
+package snowhall
+
+import (
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// pass hands one door's memory to a fresh one, through the form in which processes send it.
+func pass(t *testing.T, from *Door, set Settings, at time.Duration, list ...Backend) (*Door, Memory) {
+	t.Helper()
+	handed := only[Handed](from.Step(at, []Event{Leave{}}))
+	if len(handed) != 1 {
+		t.Fatalf("%d memories", len(handed))
+	}
+	text, err := json.Marshal(handed[0].Memory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m Memory
+	if err := json.Unmarshal(text, &m); err != nil {
+		t.Fatal(err)
+	}
+	to, err := New(set, 8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	to.Step(at, []Event{List{Scope: Cached, Entries: list}, Recall{m}})
+	return to, m
+}
+
+// A ceiling holds over any number of doors that take each other's place, old ones still sending what they had queued.
+func TestCeilingHoldsOverSuccessors(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		set := basic()
+		set.Counter, set.Doors = false, 1
+		set.Plans[1] = Plan{Factor: 1, OverWorth: 0.2, CeilingRate: 20, CeilingDepth: 40}
+		list := backends(3)
+		doors := []*Door{open(t, set, list...)}
+		sent, id, at := 0.0, uint64(0), time.Duration(0)
+		type out struct {
+			d *Door
+			s Send
+		}
+		var outs []out
+		step := func(d *Door, evs ...Event) {
+			for _, s := range only[Send](d.Step(at, evs)) {
+				sent++
+				outs = append(outs, out{d, s})
+			}
+		}
+		for at < 30*time.Second {
+			at += 20 * ms
+			last := doors[len(doors)-1]
+			for range rng.IntN(3) {
+				id++
+				step(last, ask(id, 0, 1))
+			}
+			for len(outs) > 2 && rng.IntN(2) == 0 {
+				o := outs[0]
+				outs = outs[1:]
+				step(o.d, Outcome{ID: o.s.ID, Backend: o.s.Backend, Status: OK, Latency: 50 * ms, Closed: true})
+			}
+			for _, d := range doors {
+				step(d, Timer{0})
+			}
+			if rng.IntN(40) == 0 {
+				next, _ := pass(t, last, set, at, list...)
+				doors = append(doors, next)
+			}
+			if most := 40 + 20*at.Seconds() + 1; sent > most {
+				t.Fatalf("seed %d: %.0f sent in %v over %d doors, the ceiling gives %.0f", seed, sent, at, len(doors), most)
+			}
+		}
+		if sent < 20*at.Seconds()*0.8 || len(doors) < 10 {
+			t.Errorf("seed %d: %.0f sent over %d doors", seed, sent, len(doors))
+		}
+	}
+}
+
+// Tokens and spare are handed on once: a customer of many successors gets no new burst from each.
+func TestQuotaIsHandedOnOnce(t *testing.T) {
+	set := basic()
+	set.Counter, set.Doors = false, 1
+	list := backends(3)
+	d := open(t, set, list...)
+	sent, id := 0, uint64(0)
+	for i := range 10 {
+		at := time.Duration(i) * 100 * ms
+		for range 20 {
+			id++
+			for _, s := range only[Send](d.Step(at, []Event{ask(id, 0, 0)})) {
+				sent++
+				d.Step(at, []Event{Outcome{ID: s.ID, Backend: s.Backend, Status: OK, Latency: ms, Closed: true}})
+			}
+		}
+		d, _ = pass(t, d, set, at, list...)
+	}
+	if p := set.Plans[0]; float64(sent) > p.Burst+p.Rate+1 {
+		t.Errorf("%d sent in a second of a quota of %v and %v", sent, p.Rate, p.Burst)
+	}
+}
+
+// A cap on what is open at once counts what is open at the door before, until its time is over.
+func TestAtOnceCountsTheDoorBefore(t *testing.T) {
+	set := basic()
+	set.Counter, set.Doors = false, 1
+	list := backends(4)
+	old := open(t, set, list...)
+	for i := range uint64(3) {
+		if n := len(only[Send](old.Step(time.Second, []Event{ask(i+1, 0, 3)}))); n != 1 {
+			t.Fatalf("%d sends", n)
+		}
+	}
+	d, _ := pass(t, old, set, time.Second, list...)
+	sends := 0
+	for i := range uint64(4) {
+		sends += len(only[Send](d.Step(time.Second+ms, []Event{ask(i+1, 0, 3)})))
+	}
+	if sends != 1 {
+		t.Errorf("%d sent beside 3 at the old door; the cap is 4", sends)
+	}
+	c := d.customers["c"]
+	acts := d.Step(4*time.Second, []Event{Timer{(ghosts+1)<<1 | 1}, Timer{(ghosts+0)<<1 | 1}, Timer{(ghosts+2)<<1 | 1}})
+	_ = acts
+	if c.live > 1 {
+		t.Errorf("%d still count when their time is over", c.live)
+	}
+}
+
+// What a door has learned goes along: classes, slow and cold servers, those left out, and sends to cold ones.
+func TestKnowledgeIsHandedOn(t *testing.T) {
+	set := quiet()
+	list := backends(4)
+	old := open(t, set, list...)
+	old.Step(time.Second, []Event{ask(1, 0, 0)})
+	old.learned[0] = experience{base: 0.2, floor: 0.1, answers: 77}
+	s := old.servers[list[0].Name]
+	s.cold, s.coldAt, s.slow, s.slots = true, time.Second, 2, 3
+	s.recent = []sent{{time.Second, 1}}
+	old.eject(old.servers[list[1].Name])
+	d, m := pass(t, old, set, 2*time.Second, list...)
+	if k := d.learned[0]; k.base != 0.2 || k.floor != 0.1 || k.answers != 77 {
+		t.Errorf("%+v", k)
+	}
+	got := d.servers[list[0].Name]
+	if !got.cold || got.coldAt != time.Second || got.slow != 2 || got.slots != 3 || len(got.recent) != 1 {
+		t.Errorf("%+v", got)
+	}
+	if !d.servers[list[1].Name].ejected {
+		t.Error("a server that was left out is used")
+	}
+	again := list[0]
+	again.Started = 1500 * ms // another process than the one that is known
+	fresh, err := New(set, 9)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh.Step(2*time.Second, []Event{List{Scope: Cached, Entries: []Backend{again}}, Recall{m}})
+	if got := fresh.servers[again.Name]; got.slow == 2 || got.coldAt != again.Started {
+		t.Errorf("what is known of another process: %+v", got)
+	}
+}
+
+// A door that gets back what nobody took goes on as before.
+func TestTakeBack(t *testing.T) {
+	set := basic()
+	set.Counter, set.Doors = false, 1
+	d := open(t, set, backends(2)...)
+	d.Step(time.Second, []Event{ask(1, 0, 1)})
+	c := d.customers["c"]
+	ceil, spare := d.ceiling(c, &set.Plans[1]), c.spare
+	handed := only[Handed](d.Step(time.Second, []Event{Leave{}}))
+	if c.ceil > c.ceilQueued || c.spare > 0 {
+		t.Errorf("kept: ceiling %v, spare %v", c.ceil, c.spare)
+	}
+	d.Step(2*time.Second, []Event{ask(2, 0, 1)}) // it fills nothing meanwhile
+	d.Step(3*time.Second, []Event{Recall{handed[0].Memory}})
+	if math.Abs(c.ceil-ceil) > 1e-9 || math.Abs(c.spare-spare) > 1e-9 {
+		t.Errorf("ceiling %v, was %v; spare %v, was %v", c.ceil, ceil, c.spare, spare)
+	}
+	if d.away {
+		t.Error("still away")
+	}
+}
+
+// A memory may be of another form of the settings, or nonsense.
+func TestRecallOfNonsense(t *testing.T) {
+	set := basic()
+	d := open(t, set, backends(1)...)
+	inf := math.Inf(1)
+	d.Step(time.Second, []Event{Recall{Memory{CallShare: -3, Rate: -1, Classes: make([]ClassMemory, 9),
+		Customers: []CustomerMemory{{Name: "a", Plan: 99, Doors: 1}, {Name: "b", Plan: -1}, {Name: "c", Plan: 0}, {Name: "d", Plan: 3, Doors: 1,
+			Open: make([]time.Duration, 1000), Ceil: inf, Spare: inf}},
+		Servers: []ServerMemory{{Name: "nobody"}, {Name: "b0", Started: 0, Slots: -1, Slow: -1}}}}})
+	for i := range uint64(20) {
+		d.Step(time.Second+time.Duration(i)*20*ms, []Event{ask(i+1, 0, int(i)%4), Timer{0}})
+	}
+	if d.callShare < callsLeast || d.callShare > 1 {
+		t.Errorf("callShare %v", d.callShare)
+	}
+}
--- a/internal/front/resp2/front.go
+++ b/internal/front/resp2/front.go
@@ -25,7 +25,8 @@
 
 // Config is one listener.
 type Config struct {
-	Listener string // its name, for routes
+	Listener string        // its name, for routes
+	Stall    time.Duration // a client that takes nothing of a long value for so long is given up; 0: 5 s
 	// Routes says that requests are routed by what they name; else all go to one pool.
 	Routes bool
 	// Accounts finds what is configured for a customer; nil, or a nil result: nothing, and the request's own plan and
--- a/internal/front/resp2/stream.go
+++ b/internal/front/resp2/stream.go
@@ -1,14 +1,15 @@
 package resp2
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
 	"snowhall/internal/upstream"
 )
 
-// streamWithin is how long a client may take nothing of a long value before it is given up. A piece of it is 32 KiB at most.
-const streamWithin = 5 * time.Second
+// stall is how long a client may take nothing of a long value before it is given up: the default. A piece is 32 KiB at most.
+const stall = 5 * time.Second
 
 var errGone = errors.New("the client has gone, or what it asked is over")
 
@@ -34,7 +35,7 @@
 	if !st.turn() {
 		return errGone
 	}
-	st.c.nc.SetWriteDeadline(time.Now().Add(streamWithin))
+	st.c.nc.SetWriteDeadline(time.Now().Add(cmp.Or(st.c.fr.cfg.Stall, stall)))
 	_, err := st.c.nc.Write(b)
 	return err
 }
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,262 @@
+package handover
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"snowhall/internal/standin/peer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// old runs a function as the old process for one new one.
+func old(t *testing.T, dir string, f func(*net.UnixConn)) {
+	t.Helper()
+	ln, err := Listen(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c, err := ln.AcceptUnix()
+		if err != nil {
+			return
+		}
+		f(c)
+		c.Close()
+	}()
+	t.Cleanup(func() {
+		ln.Close()
+		<-done
+	})
+}
+
+func TestHandOver(t *testing.T) {
+	for name, dir := range map[string]string{"short": t.TempDir(), "long path": filepath.Join(t.TempDir(), strings.Repeat("d", 150))} {
+		t.Run(name, func(t *testing.T) {
+			if err := os.MkdirAll(dir, 0o700); err != nil {
+				t.Fatal(err)
+			}
+			state := bytes.Repeat([]byte("state"), 50000) // more than one packet holds
+			socket := peer.Listen(t)
+			client, err := net.Dial("tcp", socket.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			mine, err := socket.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			old(t, dir, func(c *net.UnixConn) {
+				l, err := Hello(c)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if err := l.Offer(state, socket.(syscall.Conn)); err != nil {
+					t.Error(err)
+					return
+				}
+				if err := l.Hand(mine.(syscall.Conn), []byte("half a comm")); err != nil {
+					t.Error(err)
+				}
+				if err := l.Hand(mine.(syscall.Conn), make([]byte, MostUnread+1)); err == nil {
+					t.Error("more is handed over than a packet holds")
+				}
+				mine.Close()
+				l.Ended()
+			})
+			taken, err := Take(dir)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer taken.Listener.Close()
+			defer taken.Link.Close()
+			if !bytes.Equal(taken.State, state) {
+				t.Errorf("a state of %d bytes, %d were sent", len(taken.State), len(state))
+			}
+			if err := taken.Link.Confirm(); err != nil {
+				t.Fatal(err)
+			}
+			nc, unread, err := taken.Link.Next()
+			if err != nil || string(unread) != "half a comm" {
+				t.Fatalf("%q, %v", unread, err)
+			}
+			defer nc.Close()
+			io.WriteString(client, "and")
+			b := make([]byte, 3)
+			if _, err := io.ReadFull(nc, b); err != nil || string(b) != "and" {
+				t.Errorf("%q, %v", b, err)
+			}
+			socket.Close() // the queue is the other's too
+			again, err := net.Dial("tcp", socket.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer again.Close()
+			got, err := taken.Listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			got.Close()
+		})
+	}
+}
+
+// Whatever the other side says that is not a hand-over, the new process gets an error and can start by itself.
+func TestTakeFromOneThatErrs(t *testing.T) {
+	if _, err := Take(t.TempDir()); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("nobody there: %v", err)
+	}
+	dead := t.TempDir()
+	ln, err := Listen(dead)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	if _, err := Take(dead); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("one that has died: %v", err)
+	}
+	sum := binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, 3), crc32.ChecksumIEEE([]byte("abc")))
+	for name, packets := range map[string][]string{
+		"ends":           {},
+		"refuses":        {"Rbusy"},
+		"no socket":      {"Sabc", "L" + string(sum)},
+		"out of turn":    {"K"},
+		"a strange kind": {"?"},
+		"a short end":    {"Sabc", "L12"},
+		"a wrong packet": {strings.Repeat("S", packet+1)},
+		"more than fits": append(make([]string, 0), many("S"+strings.Repeat("x", chunk), mostState/chunk+1)...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			old(t, dir, func(c *net.UnixConn) {
+				(&Link{c: c}).receive(stepWithin)
+				for _, p := range packets {
+					if _, err := c.Write([]byte(p)); err != nil {
+						return
+					}
+				}
+			})
+			taken, err := Take(dir)
+			if err == nil {
+				taken.Listener.Close()
+				taken.Link.Close()
+				t.Fatal("taken")
+			}
+			if name == "refuses" && (!errors.Is(err, ErrRefused) || !strings.Contains(err.Error(), "busy")) {
+				t.Error(err)
+			}
+		})
+	}
+	t.Run("a wrong checksum", func(t *testing.T) {
+		dir := t.TempDir()
+		socket := peer.Listen(t)
+		old(t, dir, func(c *net.UnixConn) {
+			l := &Link{c: c}
+			l.receive(stepWithin)
+			l.send(kindState, []byte("abd"))
+			l.sendFile(kindListen, sum, socket.(syscall.Conn))
+			l.Ended()
+		})
+		if _, err := Take(dir); err == nil || !strings.Contains(err.Error(), "checksum") {
+			t.Error(err)
+		}
+	})
+}
+
+func many(s string, n int) (all []string) {
+	for range n {
+		all = append(all, s)
+	}
+	return all
+}
+
+// The old process hands nothing to one that speaks another version, says nothing that makes sense, or does not confirm.
+func TestHelloOfOthers(t *testing.T) {
+	for _, first := range []string{fmt.Sprintf(`H{"version":%d}`, Version+1), "H{", "K", "", "Hnull"} {
+		t.Run(first, func(t *testing.T) {
+			dir := t.TempDir()
+			old(t, dir, func(c *net.UnixConn) {
+				if _, err := Hello(c); err == nil {
+					t.Error("taken for a new process")
+				}
+			})
+			c, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: filepath.Join(dir, socketName), Net: "unixpacket"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if first != "" {
+				c.Write([]byte(first))
+			} else {
+				c.Close()
+			}
+			io.Copy(io.Discard, c)
+		})
+	}
+	dir := t.TempDir()
+	socket := peer.Listen(t)
+	old(t, dir, func(c *net.UnixConn) {
+		l, err := Hello(c)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if err := l.Offer([]byte("state"), socket.(syscall.Conn)); err == nil {
+			t.Error("confirmed by nobody")
+		}
+	})
+	taken, err := Take(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken.Listener.Close()
+	taken.Link.Close()
+}
+
+// What a packet says may be anything.
+func FuzzPackets(f *testing.F) {
+	f.Add([]byte("Sabc"), []byte("L12345678"))
+	f.Add([]byte("Rno"), []byte(""))
+	f.Fuzz(func(t *testing.T, one, two []byte) {
+		fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_SEQPACKET, 0)
+		if err != nil {
+			t.Skip(err)
+		}
+		var ends [2]*net.UnixConn
+		for i, fd := range fds {
+			file := os.NewFile(uintptr(fd), "end")
+			nc, err := net.FileConn(file)
+			file.Close()
+			if err != nil {
+				t.Fatal(err)
+			}
+			ends[i] = nc.(*net.UnixConn)
+			defer nc.Close()
+		}
+		for _, b := range [][]byte{one, two} {
+			if len(b) > 0 && len(b) < packet {
+				ends[1].Write(b)
+			}
+		}
+		ends[1].CloseWrite()
+		if taken, err := take(&Link{c: ends[0]}); err == nil {
+			t.Errorf("taken without a socket: %q", taken.State)
+		}
+	})
+}
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -9,6 +9,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"time"
 
 	"snowhall"
 	"snowhall/internal/membership/discovery"
@@ -29,6 +30,7 @@
 	Transport wire.Transport
 	Known     discovery.Members // the list of backends as last had, maybe old
 	Dir       string            // outlives the process where the platform upgrades it; empty: nothing does
+	Stall     time.Duration     // a long value of which nothing comes or is taken for so long is given up; 0: 5 s
 	Trace     io.Writer         // what becomes of each request and why; nil: not written
 
 	keys map[string]bool // the paths of all keys that were given
--- /dev/null
+++ b/internal/service/long_test.go
@@ -0,0 +1,147 @@
+package service
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"snowhall/internal/standin/peer"
+)
+
+const longSize = 3 << 20
+
+func longAnswer(n int) string {
+	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n%s$-1\r\n", n, strings.Repeat("v", n), peer.Bulk("used=3"))
+}
+
+func stalling(within time.Duration) option { return func(c *Config, _ *testing.T) { c.Stall = within } }
+
+// A value far over what a connection is held for goes through as it comes; its first bytes are there before its last are sent,
+// and the connections of both sides are good for what follows, also later than the time in which a piece must be taken.
+func TestLongValuePassesThrough(t *testing.T) {
+	ln := peer.Listen(t)
+	w := start(t, []string{ln.Addr().String()}, stalling(100*time.Millisecond))
+	c := w.dial()
+	c.Command("Q.ASK", peer.Customer, "1", peer.List)
+	b := peer.Accept(t, ln)
+	b.Message()
+	text := longAnswer(longSize)
+	b.Write(text[:100<<10])
+	first := make([]byte, 50<<10)
+	if _, err := io.ReadFull(c.In, first); err != nil {
+		t.Fatal(err)
+	}
+	go b.NC.Write([]byte(text[100<<10:]))
+	rest := make([]byte, len(fmt.Sprintf("$%d\r\n", longSize))+longSize+2-len(first))
+	if _, err := io.ReadFull(c.In, rest); err != nil {
+		t.Fatal(err)
+	}
+	if whole := string(first) + string(rest); whole != fmt.Sprintf("$%d\r\n%s\r\n", longSize, strings.Repeat("v", longSize)) {
+		t.Error("the value is not the backend's")
+	}
+	time.Sleep(150 * time.Millisecond) // beyond the time for a piece
+	for id := range 2 {
+		c.Command("Q.ASK", peer.Customer, fmt.Sprint("again", id), peer.List)
+		b.Message() // on the same connection
+		b.Write("*3\r\n" + peer.Bulk("short") + "$-1\r\n$-1\r\n")
+		c.Wants("short")
+	}
+	if n := w.p.Figures.Class("evaluate").Count(0); n != 3 {
+		t.Errorf("%d served", n)
+	}
+}
+
+// Answers keep their order: a long value waits for its turn, and what comes behind it for its end.
+func TestLongValueInItsTurn(t *testing.T) {
+	ln := peer.Listen(t)
+	w := start(t, []string{ln.Addr().String()})
+	c := w.dial()
+	c.Command("Q.ASK", peer.Customer, "1", peer.List)
+	first := peer.Accept(t, ln)
+	first.Message()
+	c.Command("Q.ASK", peer.Customer, "2", peer.List)
+	second := peer.Accept(t, ln)
+	second.Message()
+	c.Command("PING")
+	go second.NC.Write([]byte(longAnswer(200 << 10)))
+	time.Sleep(20 * time.Millisecond)
+	first.Write("*3\r\n" + peer.Bulk("one") + "$-1\r\n$-1\r\n")
+	c.Wants("one")
+	if m := c.Message(); len(m) != 1 || len(m[0]) != 200<<10 {
+		t.Errorf("%d items", len(m))
+	}
+	c.Wants("+PONG")
+}
+
+// A backend that dies or falls silent in the middle, or whose length was wrong: the client sees an end of its connection and
+// no other answer, nobody else sees anything, and nothing is sent again.
+func TestLongValueCutOff(t *testing.T) {
+	for name, cut := range map[string]func(*peer.Peer){
+		"dies":         func(b *peer.Peer) { b.NC.Close() },
+		"falls silent": func(*peer.Peer) {},
+		"wrong length": func(b *peer.Peer) { b.NC.Write([]byte(strings.Repeat("v", 200<<10) + "$-1\r\n$-1\r\n")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln := peer.Listen(t)
+			w := start(t, []string{ln.Addr().String()}, stalling(100*time.Millisecond))
+			c, other := w.dial(), w.dial()
+			c.Command("Q.ASK", peer.Customer, "1", peer.List)
+			b := peer.Accept(t, ln)
+			b.Message()
+			b.Write(longAnswer(200 << 10)[:100<<10])
+			cut(b)
+			got, err := io.ReadAll(c.In)
+			if _, is := err.(net.Error); is && strings.Contains(err.Error(), "timeout") {
+				t.Fatal(err)
+			}
+			if len(got) < 50<<10 || strings.Contains(string(got), "-ERR") || strings.HasSuffix(string(got), "v\r\n") {
+				t.Errorf("%d bytes that end in %q", len(got), got[max(0, len(got)-10):])
+			}
+			other.Command("Q.ASK", peer.Customer, "2", peer.List)
+			again := peer.Accept(t, ln)
+			if m := again.Message(); m[2] != "2" {
+				t.Errorf("%q was sent again", m)
+			}
+			again.Write("*3\r\n" + peer.Bulk("short") + "$-1\r\n$-1\r\n")
+			other.Wants("short")
+			if n := w.p.Figures.Class("evaluate").Count(2); n != 1 {
+				t.Errorf("%d counted as failed", n)
+			}
+		})
+	}
+}
+
+// Clients that take nothing of their long values hold up nobody and are given up; one that leaves ends its transfer.
+func TestSlowReadersOfLongValues(t *testing.T) {
+	ln := peer.Listen(t)
+	w := start(t, []string{ln.Addr().String()}, stalling(200*time.Millisecond))
+	for i := range 4 {
+		c := w.dial()
+		for j := range 4 { // together more than sockets hold
+			c.Command("Q.ASK", peer.Customer, fmt.Sprint(i, "-", j), peer.List)
+			b := peer.Accept(t, ln)
+			b.Message()
+			go b.NC.Write([]byte(longAnswer(longSize * 4 / 3)))
+		}
+		if i == 3 {
+			c.NC.Close()
+		}
+	}
+	c := w.dial()
+	c.Command("Q.ASK", peer.Customer, "other", peer.List)
+	b := peer.Accept(t, ln)
+	b.Message()
+	b.Write("*3\r\n" + peer.Bulk("short") + "$-1\r\n$-1\r\n")
+	c.Wants("short")
+	for limit := time.Now().Add(peer.Patient); w.p.Figures.Open() > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("%d still open", w.p.Figures.Open())
+		}
+	}
+	if given := w.p.Figures.Class("evaluate").Count(2) + uint64(w.p.Figures.Gone.Load()); given < 4 {
+		t.Errorf("%d were given up of four clients'", given)
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -78,6 +78,7 @@
 		c.Found = parts.Found(c)
 	}
 	up := upstream.Config{Most: max(1, BackendSockets(cfg.Sockets)), DialTimeout: cfg.Transport.DialTimeout, Idle: cfg.Transport.ConnIdle, Trace: tr}
+	up.Stall = cfg.Stall
 	up.Written = c.Figures.Relayed.Add
 	up.Values = budget.NewBytes(ClientMemory(cfg.MemoryMB) / 2)
 	if parts.Places != nil {
@@ -167,7 +168,7 @@
 // at the other listener; nil: nowhere.
 func (p *Platform) Serve(ctx context.Context, ln, operators net.Listener) {
 	p.log.Info("serving", "listen", ln.Addr(), "backends", len(p.cfg.Known.Endpoints))
-	clients := resp2.New(p.env, resp2.Config{}, ln, p.log)
+	clients := resp2.New(p.env, resp2.Config{Stall: p.cfg.Stall}, ln, p.log)
 	if operators != nil {
 		beside, stop := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
