--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -4,7 +4,7 @@
 //	measure forward-auth [--for 5s] [--rounds 3]            checks against a bare handler; a quiet account beside a flood
 //	measure pools [--for 5s] [--rounds 3]                   a quiet pool beside a flooded one; what pools cost
 //	measure ceilings [--svg docs/ceilings.svg]              what of a ceiling is served by the skew of the demand
-//	measure platform [--for 5s] [--rounds 3] GAPGAP...      builds of cmd/gapgap under the same load
+//	measure platform [--for 5s] [--rounds 3] [--value 5,65536] [--figures] GAPGAP...   builds of cmd/gapgap under the same load
 package main
 
 import (
@@ -52,7 +52,12 @@
 	add("ceilings", "What of a ceiling is served by the skew of the demand, in virtual time; draws a plot", cobra.NoArgs, func([]string) error {
 		return ceilings(svg)
 	}).Flags().StringVar(&svg, "svg", "docs/ceilings.svg", "the plot's file")
-	add("platform GAPGAP...", "Builds of cmd/gapgap under the same load", cobra.MinimumNArgs(1), func(args []string) error { return platform(args, lasts, rounds) })
+	var what carried
+	p := add("platform GAPGAP...", "Builds of cmd/gapgap under the same load", cobra.MinimumNArgs(1), func(args []string) error {
+		return platform(args, what, lasts, rounds)
+	})
+	p.Flags().IntSliceVar(&what.values, "value", []int{5}, "bytes of the answers' values, a stretch for each")
+	p.Flags().BoolVar(&what.calls, "figures", false, "fetch the figures ten times a second")
 	// What this program starts of itself.
 	add("flood ADDRESS", "", cobra.ExactArgs(1), func(args []string) error { return serveFlood(args[0]) }).Hidden = true
 	add("serve-bare", "", cobra.NoArgs, func([]string) error { return serveBare() }).Hidden = true
--- a/cmd/measure/platform.go
+++ b/cmd/measure/platform.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -25,8 +26,14 @@
 "specifics":{"max-units":1},"classes":[{"name":"evaluate","effect":"safe","worth":1.0,"target-us":1000000,"give-up-us":3000000}],
 "tiers-of-service":[{"name":"wide","value-factor":1.0}]}`
 
+// load of the platform's front door.
+type carried struct {
+	values []int // bytes of the answers' values, one stretch for each
+	calls  bool  // an operator fetches the figures ten times a second, of builds that have them
+}
+
 // platform runs builds of cmd/gapgap one after the other under the same load, and prints what each holds and uses.
-func platform(builds []string, lasts time.Duration, rounds int) error {
+func platform(builds []string, what carried, lasts time.Duration, rounds int) error {
 	if len(builds) == 0 {
 		return errors.New("usage: measure platform [-for 5s] [-rounds 3] GAPGAP...")
 	}
@@ -53,15 +60,18 @@
 	file := filepath.Join(dir, "config.json")
 	for range rounds {
 		for _, b := range builds {
-			if err := platformOnce(b, file, agent.Addr(), string(known), lasts); err != nil {
-				return fmt.Errorf("%s: %w", b, err)
+			for _, size := range what.values {
+				s.Set(flagserver.Config{Value: strings.Repeat("v", size)})
+				if err := platformOnce(b, file, agent.Addr(), string(known), size, what.calls, lasts); err != nil {
+					return fmt.Errorf("%s: %w", b, err)
+				}
 			}
 		}
 	}
 	return nil
 }
 
-func platformOnce(build, file, agent, known string, lasts time.Duration) error {
+func platformOnce(build, file, agent, known string, size int, calls bool, lasts time.Duration) error {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -74,7 +84,19 @@
 		return err
 	}
 	cmd := exec.Command(build)
-	cmd.Env = append(os.Environ(), "NODE_CONFIG="+file, "NODE_LISTEN=", "NODE_DISCOVERY=", "NODE_NAME=")
+	cmd.Env = append(os.Environ(), "NODE_CONFIG="+file, "NODE_LISTEN=", "NODE_DISCOVERY=", "NODE_NAME=", "NODE_CONTROL=")
+	if calls {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		control := ln.Addr().String()
+		ln.Close()
+		cmd.Env = append(cmd.Env, "NODE_CONTROL="+control, "TMPDIR="+filepath.Dir(file))
+		over := make(chan struct{})
+		defer close(over)
+		go fetch(control, over)
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -98,11 +120,28 @@
 	cmd.Process.Signal(syscall.SIGTERM)
 	cmd.Wait()
 	cpu := cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
-	fmt.Printf("%s: %.1f MB idle, %.1f MB after %d requests (%d odd), %.1f us CPU a request, p99 %v\n", filepath.Base(filepath.Dir(build)), idle, busy, l.done, l.odd,
+	fmt.Printf("%s, values of %d bytes: %.1f MB idle, %.1f MB after %d requests (%d odd), %.1f us CPU a request, p99 %v\n", filepath.Base(filepath.Dir(build)), size, idle, busy, l.done, l.odd,
 		cpu.Seconds()*1e6/float64(l.done), l.quantile(.99))
 	return nil
 }
 
+// fetch calls for the figures ten times a second until it is told to end.
+func fetch(control string, over chan struct{}) {
+	for {
+		select {
+		case <-over:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		if nc, err := net.Dial("tcp", control); err == nil {
+			nc.SetDeadline(time.Now().Add(time.Second))
+			io.WriteString(nc, "INFO\n")
+			io.Copy(io.Discard, nc)
+			nc.Close()
+		}
+	}
+}
+
 // residentOf is a process's resident memory in MB.
 func residentOf(pid int) float64 {
 	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
