--- a/cmd/gapgap/upgrade_test.go
+++ b/cmd/gapgap/upgrade_test.go
@@ -692,3 +692,121 @@
 		t.Errorf("%d of %d connections have gone over", whole, clients)
 	}
 }
+
+// Without an address for operators the program is what it was: one listener, which nobody shares, and no file beside it.
+func TestNothingOfThisWithoutControl(t *testing.T) {
+	n := newNode(t, 1, flagserver.Config{})
+	bin, err := binary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	run := func() (*exec.Cmd, *lockedLog) {
+		log := &lockedLog{}
+		cmd := exec.Command(bin)
+		cmd.Env, cmd.Stderr = []string{"NODE_CONFIG=" + n.file, "TMPDIR=" + n.dir}, log
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { cmd.Process.Kill() })
+		return cmd, log
+	}
+	first, _ := run()
+	for limit := time.Now().Add(peer.Patient); ; time.Sleep(2 * time.Millisecond) {
+		if c, err := n.dial(); err == nil {
+			if got, err := c.ask("PING"); err == nil && got == "+PONG\r\n" {
+				break
+			}
+		}
+		if time.Now().After(limit) {
+			t.Fatal("it does not serve")
+		}
+	}
+	files, err := os.ReadDir(n.dir)
+	if err != nil || len(files) != 1 {
+		t.Errorf("beside the configuration: %v, %v", files, err)
+	}
+	second, log := run()
+	if err := second.Wait(); err == nil || !strings.Contains(log.String(), "address already in use") {
+		t.Errorf("a second process: %v, %s", err, log)
+	}
+	first.Process.Signal(syscall.SIGTERM)
+	if err := first.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Where no file and no Unix socket can be made, the front door serves, takes operators' calls and is replaced all the same.
+func TestNoDirectory(t *testing.T) {
+	n := newNode(t, 2, flagserver.Config{})
+	n.env = []string{"TMPDIR=" + filepath.Join(n.dir, "nowhere")}
+	p := n.start()
+	p.ready()
+	for _, call := range []string{"DETACH s-0", "ATTACH s-0"} {
+		if got, err := p.call(call); got != "YES\n" {
+			t.Errorf("%s: %q, %v", call, got, err)
+		}
+	}
+	next := n.start()
+	next.ready()
+	p.end()
+	l := n.load(2)
+	l.more(20)
+	l.end()
+}
+
+// Signals that come together are one or several reads of the file, and the last state of the file holds.
+func TestSeveralSignals(t *testing.T) {
+	n := newNode(t, 1, flagserver.Config{})
+	p := n.start()
+	p.ready()
+	text, err := os.ReadFile(n.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 30 {
+		body := strings.Replace(string(text), `"name":"evaluate"`, fmt.Sprintf(`"name":"evaluate%d"`, i), 1)
+		if i%3 == 1 {
+			body = body[:len(body)/2]
+		}
+		if err := os.WriteFile(n.file+".new", []byte(body), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(n.file+".new", n.file); err != nil {
+			t.Fatal(err)
+		}
+		p.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	list := "c=evaluate29,t=open,d=3000,units=1,spread=1,first=0"
+	for limit := time.Now().Add(peer.Patient); ; time.Sleep(2 * time.Millisecond) {
+		c, err := n.dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := c.ask("Q.ASK", peer.Customer, "1", list)
+		c.nc.Close()
+		if err == nil && got[0] == '$' {
+			break
+		}
+		if time.Now().After(limit) {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+}
+
+// The example is a configuration that the program takes.
+func TestDeployExample(t *testing.T) {
+	t.Setenv("NODE_CONFIG", "../../deploy/gapgap.json")
+	for _, name := range []string{"NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_CONTROL"} {
+		t.Setenv(name, "")
+	}
+	c, err := readConfig()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.CheckReload(c); err != nil {
+		t.Error(err)
+	}
+	if c.Control == "" {
+		t.Error("no address for operators")
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -252,7 +252,9 @@
 
 func (bs *Pool) forget(b *backend) {
 	if !b.told && len(b.conns) == 0 {
-		delete(bs.all, b.name)
+		if bs.all[b.name] == b { // else it has come back, and what ends here is a connection of before
+			delete(bs.all, b.name)
+		}
 		if b.cap != nil {
 			b.cap.Leave()
 			b.cap = nil
