--- a/cmd/gapgap/main.go
+++ b/cmd/gapgap/main.go
@@ -44,10 +44,18 @@
 		return fmt.Errorf("configuration: %w", err)
 	}
 	runtime.GOMAXPROCS(1) // a front door has one core: more threads would only take turns on it
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4) // the rest is for stacks, sockets and the kernel
+	memory := func(beside bool) {
+		if cfg.MemoryMB <= 0 {
+			return
+		}
+		limit := int64(cfg.MemoryMB) << 20 * 3 / 4 // the rest is for stacks, sockets and the kernel
+		if beside {
+			limit /= 2
+		}
+		debug.SetMemoryLimit(limit)
 		debug.SetGCPercent(gcPercent)
 	}
+	memory(false)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("name", cfg.Name)
@@ -68,6 +76,7 @@
 	if err != nil {
 		return err
 	}
+	f.Beside = memory
 	ln, err := listen(f, old, cfg, log)
 	if err != nil {
 		return err
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -129,6 +129,10 @@
 
 	predecessor *handover.Link // hands over connections; nil: there is none
 
+	// Beside is told when a second process of this front door begins to share its memory, and when it no longer does; nil:
+	// nobody asks. It is set before Serve, and called by one goroutine at a time.
+	Beside func(on bool)
+
 	listening atomic.Bool // clients' connections are taken
 	inUse     *Config     // what was last taken by Reload, or cfg. Reload's
 }
--- a/internal/service/upgrade.go
+++ b/internal/service/upgrade.go
@@ -95,6 +95,8 @@
 	}
 	all := max(1, BackendSockets(p.cfg.Sockets))
 	p.Most(max(1, int(besidePart*float64(all))))
+	p.beside(true)
+	defer p.beside(false)
 	stop := context.AfterFunc(ctx, func() { p.predecessor.Close() })
 	defer stop()
 	for {
@@ -179,6 +181,8 @@
 		return err
 	}
 	p.log.Info("another process serves from now on")
+	p.beside(true)
+	defer p.beside(false)
 	clients.Move(link.Hand)
 	link.Ended()
 	clients.Stay()
@@ -189,6 +193,12 @@
 	return nil
 }
 
+func (p *Platform) beside(on bool) {
+	if p.Beside != nil {
+		p.Beside(on)
+	}
+}
+
 // known is the list of backends as the loop has it.
 func (p *Platform) known(ctx context.Context) (m discovery.Members) {
 	got := make(chan discovery.Members, 1)
