Bans: a call back ends a ban that the other process was told of a moment before

Found on reading the change again. Within the 100 ms by which two processes look at each other's bans, ATTACH at the one that had not yet looked said yes, removed nothing, and the ban came back with its next look. A call now looks first; the test fails without that. Names of backends: lists that say the same again pushed out names that had left, and a banned name could be forgotten, so that its ban could not be lifted; written anew, simpler, with the test of its bound that was missing. The first byte of a long answer had no test in the module; it has one.

--- a/hand_test.go
+++ b/hand_test.go
@@ -152,3 +152,42 @@
 		t.Errorf("%d bans, %d servers", len(d.byHand), len(d.servers))
 	}
 }
+
+// From the first byte of a long answer the server's place is free and its latency known: a transfer that a slow client draws out
+// is no silence, sets no deadline and is not tried again, however it ends.
+func TestFirstByteFreesTheServer(t *testing.T) {
+	set := quiet()
+	d := open(t, set, backends(4)...)
+	at := time.Second
+	for i := range uint64(40) { // it knows how long answers take
+		feed(d, at+time.Duration(i)*tick, 100+i, 1)
+	}
+	at += time.Second
+	sends := only[Send](d.Step(at, []Event{ask(1, 0, 0)}))
+	if len(sends) != 1 {
+		t.Fatal(sends)
+	}
+	s := d.servers[sends[0].Backend]
+	answers := d.learned[0].answers
+	first := FirstByte{ID: 1}
+	d.Step(at+5*ms, []Event{first, first, FirstByte{ID: 1, Attempt: 7}, FirstByte{ID: 99}})
+	if s.load != 0 || len(s.outs) != 0 || d.learned[0].answers != answers+1 {
+		t.Errorf("load %v, %d out, %d answers learned", s.load, len(s.outs), d.learned[0].answers-answers)
+	}
+	slow := s.slow
+	for i := range 200 {
+		for _, a := range d.Step(at+time.Duration(i)*tick, []Event{Timer{0}, Timer{1<<1 | 1}}) {
+			switch a := a.(type) {
+			case Refuse, Fail, Cancel, Send:
+				t.Fatalf("%+v while the value is passed on", a)
+			}
+		}
+	}
+	if s.ejected {
+		t.Error("the server is held to be silent")
+	}
+	acts := d.Step(at+4*time.Second, []Event{Outcome{ID: 1, Backend: s.name, Status: Reset, Latency: 5 * ms, Closed: true}})
+	if len(only[Send](acts)) > 0 || s.slow != slow || len(d.reqs) != 0 || s.load != 0 {
+		t.Errorf("%+v, slow %v was %v, %d requests, load %v", acts, s.slow, slow, len(d.reqs), s.load)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -180,7 +180,7 @@
 		cfg.Figures = figures.New()
 	}
 	c := &Core{Config: cfg, Loop: l, log: log, door: door, requests: map[uint64]*Request{}, open: map[string]bool{},
-		dropped: map[int]time.Duration{}, names: names{all: map[string]bool{}}}
+		dropped: map[int]time.Duration{}, names: newNames()}
 	c.rules.Store(cfg.Start.counted(cfg.Figures, nil))
 	return c, nil
 }
--- a/internal/core/maintenance.go
+++ b/internal/core/maintenance.go
@@ -1,9 +1,11 @@
 package core
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"snowhall"
@@ -16,51 +18,67 @@
 // ErrNeverListed says that no list has named a backend.
 var ErrNeverListed = errors.New("never listed")
 
-// names are those of backends that lists have named.
+// names are those of backends that lists have named. Those that are not listed now are bounded; one that is banned is kept, as
+// the call that ends its ban must find it.
 type names struct {
-	all  map[string]bool // whether it is listed now
-	gone []string        // may hold some that are listed again
+	all    map[string]uint64 // when it left, by a count that only goes up; 0: it is listed now
+	count  uint64
+	gone   int // of them, that have left
+	banned map[string]bool
 }
 
+func newNames() names { return names{all: map[string]uint64{}, banned: map[string]bool{}} }
+
 // listed takes a list or changes of it.
 func (n *names) listed(u membership.Update) {
-	if u.Scope != snowhall.Delta {
-		for name, now := range n.all {
-			if now {
-				n.left(name)
-			}
-		}
-	}
+	named := map[string]bool{}
 	for _, e := range u.Entries {
+		_, known := n.all[e.Name]
 		if e.State != snowhall.Terminated {
-			n.all[e.Name] = true
-		} else if _, known := n.all[e.Name]; known {
+			if n.all[e.Name] > 0 {
+				n.gone--
+			}
+			n.all[e.Name], named[e.Name] = 0, true
+		} else if known {
 			n.left(e.Name)
 		}
 	}
+	if u.Scope == snowhall.Delta {
+		return
+	}
+	for name, left := range n.all {
+		if left == 0 && !named[name] {
+			n.left(name)
+		}
+	}
 }
 
+// left notes a name that is not listed now. With too many of them, those that left first are forgotten.
 func (n *names) left(name string) {
-	n.all[name] = false
-	if n.gone = append(n.gone, name); len(n.gone) <= mostNames {
+	if at, known := n.all[name]; !known || at == 0 {
+		n.gone++
+	}
+	n.count++
+	if n.all[name] = n.count; n.gone <= mostNames {
 		return
 	}
-	kept, seen := n.gone[:0], map[string]bool{}
-	for i := len(n.gone) - 1; i >= 0; i-- { // the newest first
-		if name := n.gone[i]; !n.all[name] && !seen[name] && len(seen) < mostNames/2 {
-			seen[name] = true
-		} else if !n.all[name] && !seen[name] {
-			delete(n.all, name)
+	for _, old := range n.oldest()[:n.gone-mostNames/2] {
+		if !n.banned[old] {
+			delete(n.all, old)
+			n.gone--
 		}
 	}
-	for _, name := range n.gone {
-		if seen[name] {
-			kept = append(kept, name)
-			delete(seen, name)
+}
+
+// oldest are the names that have left, the first first.
+func (n *names) oldest() (list []string) {
+	for name, at := range n.all {
+		if at > 0 {
+			list = append(list, name)
 		}
 	}
-	clear(n.gone[len(kept):])
-	n.gone = kept
+	slices.SortFunc(list, func(a, b string) int { return cmp.Compare(n.all[a], n.all[b]) })
+	return list
 }
 
 // has says whether a list has named it.
@@ -87,6 +105,7 @@
 // Attach lets it serve again.
 func (c *Core) Attach(ctx context.Context, backend string) error {
 	return c.byHand(ctx, backend, func() {
+		delete(c.names.banned, backend)
 		c.upstream.Hold(backend, false)
 		c.Tell(snowhall.Attach{Backend: backend})
 	})
@@ -101,6 +120,7 @@
 }
 
 func (c *Core) hold(backend string, since time.Duration) {
+	c.names.banned[backend] = true
 	c.Tell(snowhall.Detach{Backend: backend, At: since})
 	c.upstream.Hold(backend, true)
 }
--- /dev/null
+++ b/internal/core/names_test.go
@@ -0,0 +1,48 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"snowhall"
+	"snowhall/internal/membership"
+)
+
+func named(scope snowhall.Scope, state snowhall.State, all ...string) (u membership.Update) {
+	u.Scope = scope
+	for _, n := range all {
+		u.Entries = append(u.Entries, membership.Entry{Backend: snowhall.Backend{Name: n, State: state}})
+	}
+	return u
+}
+
+// A million names that come and go take bounded room; what is listed, or banned, is never forgotten, and whole lists that say the
+// same again push nothing out.
+func TestNamesAreBounded(t *testing.T) {
+	n := newNames()
+	n.listed(named(snowhall.Whole, snowhall.InService, "stays", "banned", "left"))
+	n.banned["banned"] = true
+	n.listed(named(snowhall.Delta, snowhall.Terminated, "banned", "left", "never listed"))
+	if n.has("never listed") || !n.has("left") || n.gone != 2 {
+		t.Errorf("%v", n.all)
+	}
+	for range 20000 {
+		n.listed(named(snowhall.Whole, snowhall.InService, "stays"))
+	}
+	if !n.has("left") || n.gone != 2 {
+		t.Errorf("lists that say the same push names out: %v", n.all)
+	}
+	for i := range 1000 {
+		all := []string{"stays"}
+		for j := range 1000 {
+			all = append(all, fmt.Sprint(i, "-", j))
+		}
+		n.listed(named(snowhall.Whole, snowhall.InService, all...))
+		if len(n.all) > mostNames+1100 {
+			t.Fatalf("%d names", len(n.all))
+		}
+	}
+	if !n.has("stays") || !n.has("banned") || n.has("left") || !n.has("998-7") {
+		t.Errorf("stays %t, banned %t, left long ago %t, left last %t", n.has("stays"), n.has("banned"), n.has("left"), n.has("998-7"))
+	}
+}
--- a/internal/core/succession.go
+++ b/internal/core/succession.go
@@ -27,7 +27,7 @@
 		c.Step()
 		c.left = true
 		rules := c.Rules()
-		e = Estate{Classes: rules.Classes, Plans: rules.Plans, Gone: slices.Clone(c.names.gone), Memory: c.handed}
+		e = Estate{Classes: rules.Classes, Plans: rules.Plans, Gone: c.names.oldest(), Memory: c.handed}
 		c.handed = snowhall.Memory{}
 		c.upstream.Yield(1<<20, "") // connections that carry nothing are for the other
 		return nil
--- a/internal/service/bans.go
+++ b/internal/service/bans.go
@@ -101,6 +101,7 @@
 	ctx := context.Background() // ends with the loop
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.lookNow(ctx) // the other process may have been told something that this call is the answer to
 	if _, is := b.have[backend]; out && !is && len(b.have) >= mostBans {
 		return fmt.Errorf("%d backends are out by hand, which is the most", mostBans)
 	}
@@ -178,6 +179,14 @@
 func (b *bans) look(ctx context.Context) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.lookNow(ctx)
+}
+
+// lookNow is look for who holds mu.
+func (b *bans) lookNow(ctx context.Context) {
+	if b.path == "" {
+		return
+	}
 	now, err := os.Stat(b.path)
 	if err != nil || b.seen != nil && os.SameFile(now, b.seen) && now.ModTime().Equal(b.seen.ModTime()) {
 		return
--- a/internal/service/hosted/ceilings_test.go
+++ b/internal/service/hosted/ceilings_test.go
@@ -62,7 +62,7 @@
 		checks, resp int
 		moves        bool
 		least        float64 // part of the ceiling from the third second on
-	}{"checks": {checks: 4, least: 0.4}, "RESP2": {resp: 4, least: 0.4}, "both, moving": {checks: 3, resp: 3, moves: true, least: 0.35}} {
+	}{"checks": {checks: 4, least: 0.4}, "RESP2": {resp: 4, least: 0.4}, "both, moving": {checks: 3, resp: 3, moves: true, least: 0.4}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			const lasts = 8
--- a/internal/service/maintenance_test.go
+++ b/internal/service/maintenance_test.go
@@ -195,3 +195,24 @@
 	}
 	t.Error("never carried out")
 }
+
+// A single call back ends a ban, also at the process that has not yet heard of it.
+func TestAttachAtTheOtherProcess(t *testing.T) {
+	dir := t.TempDir()
+	one := start(t, []string{"127.0.0.1:1"}, withDir(dir))
+	two := start(t, []string{"127.0.0.1:1"}, withDir(dir))
+	for range 10 { // without a pause, so within what the two look at each other's file by
+		if got := one.call("DETACH s-0"); got != "YES\n" {
+			t.Fatal(got)
+		}
+		if got := two.call("ATTACH s-0"); got != "YES\n" {
+			t.Fatal(got)
+		}
+		for _, w := range []*world{one, two} {
+			w.p.bans.look(context.Background())
+			if w.banned("s-0") {
+				t.Fatal("still banned after the call back")
+			}
+		}
+	}
+}
