--- a/cmd/gapgap/upgrade_test.go
+++ b/cmd/gapgap/upgrade_test.go
@@ -22,25 +22,15 @@
 	"snowhall/internal/standin/catalog"
 	"snowhall/internal/standin/flagserver"
 	"snowhall/internal/standin/peer"
+	"snowhall/internal/standin/program"
 )
 
 // binary is the real program, built once.
-var binary = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "gapgap")
-	if err != nil {
-		return "", err
-	}
-	if out, err := exec.Command("go", "build", "-o", dir, ".").CombinedOutput(); err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return filepath.Join(dir, "gapgap"), nil
-})
+var binary, removeBinary = program.Built("gapgap")
 
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if b, err := binary(); err == nil {
-		os.RemoveAll(filepath.Dir(b))
-	}
+	removeBinary()
 	os.Exit(code)
 }
 
@@ -810,3 +800,73 @@
 		t.Error("no address for operators")
 	}
 }
+
+// A new process that says hello and then hangs holds the old one up for a bounded time only: what connects meanwhile is served
+// after that, and what is open goes on all the time.
+func TestNewProcessHangs(t *testing.T) {
+	n := newNode(t, 1, flagserver.Config{})
+	p := n.start()
+	p.ready()
+	kept, err := n.dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept.ask("PING")
+	taken, err := handover.Take(n.dir) // and no word after it
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Link.Close()
+	defer taken.Listener.Close()
+	list := "c=evaluate,t=open,d=3000,units=1,spread=1,first=0"
+	if got, err := kept.ask("Q.ASK", peer.Customer, "kept", list); err != nil || got[0] != '$' {
+		t.Errorf("on a connection of before: %q, %v", got, err)
+	}
+	c, err := n.dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := c.ask("Q.ASK", peer.Customer, "new", list); err != nil || got[0] != '$' {
+		t.Errorf("on a connection that came meanwhile: %q, %v", got, err)
+	}
+	p.says("an upgrade has not come about")
+}
+
+// Processes of an upgrade are killed at moments that nobody chose: whichever is left serves, and the next upgrade works.
+func TestKilledAtAnyMoment(t *testing.T) {
+	n := newNode(t, 2, flagserver.Config{Delay: time.Millisecond})
+	p := n.start()
+	p.ready()
+	for i := range 12 {
+		next := n.start()
+		if i%2 == 0 { // the new one, before, while and after it takes over
+			time.Sleep(time.Duration(i) * 2 * time.Millisecond)
+			next.kill()
+		} else { // the old one
+			time.Sleep(time.Duration(i) * 2 * time.Millisecond)
+			p.kill()
+			next.ready()
+			p = next
+		}
+		deadline := time.Now().Add(peer.Patient)
+		for served := 0; served < 5; {
+			c, err := n.dial()
+			if err == nil {
+				got, e := c.ask("Q.ASK", peer.Customer, fmt.Sprint(i, "-", served), "c=evaluate,t=open,d=3000,units=1,spread=1,first=0")
+				c.nc.Close()
+				if e == nil && got[0] == '$' {
+					served++
+				}
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("round %d: nobody serves; %v", i, err)
+			}
+		}
+	}
+	last := n.start()
+	last.ready()
+	p.end()
+	l := n.load(4)
+	l.more(40)
+	l.end()
+}
--- a/cmd/gapgapd/main_test.go
+++ b/cmd/gapgapd/main_test.go
@@ -23,27 +23,16 @@
 	"snowhall/internal/standin/catalog"
 	"snowhall/internal/standin/flagserver"
 	"snowhall/internal/standin/peer"
+	"snowhall/internal/standin/program"
 	"snowhall/internal/standin/quota"
 )
 
 // binary is the real program, built once.
-var binary = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "gapgapd")
-	if err != nil {
-		return "", err
-	}
-	out, err := exec.Command("go", "build", "-o", dir, ".").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return filepath.Join(dir, "gapgapd"), nil
-})
+var binary, removeBinary = program.Built("gapgapd")
 
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if b, err := binary(); err == nil {
-		os.RemoveAll(filepath.Dir(b))
-	}
+	removeBinary()
 	os.Exit(code)
 }
 
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -57,7 +57,7 @@
 		return platform(args, what, lasts, rounds)
 	})
 	p.Flags().IntSliceVar(&what.values, "value", []int{5}, "bytes of the answers' values, a stretch for each")
-	p.Flags().BoolVar(&what.calls, "figures", false, "fetch the figures ten times a second")
+	p.Flags().BoolVar(&what.calls, "figures", false, "in turns without and with the figures fetched ten times a second")
 	// What this program starts of itself.
 	add("flood ADDRESS", "", cobra.ExactArgs(1), func(args []string) error { return serveFlood(args[0]) }).Hidden = true
 	add("serve-bare", "", cobra.NoArgs, func([]string) error { return serveBare() }).Hidden = true
--- a/cmd/measure/platform.go
+++ b/cmd/measure/platform.go
@@ -26,10 +26,10 @@
 "specifics":{"max-units":1},"classes":[{"name":"evaluate","effect":"safe","worth":1.0,"target-us":1000000,"give-up-us":3000000}],
 "tiers-of-service":[{"name":"wide","value-factor":1.0}]}`
 
-// load of the platform's front door.
+// carried is the load of the platform's front door.
 type carried struct {
 	values []int // bytes of the answers' values, one stretch for each
-	calls  bool  // an operator fetches the figures ten times a second, of builds that have them
+	calls  bool  // in turns with and without an operator who fetches the figures ten times a second
 }
 
 // platform runs builds of cmd/gapgap one after the other under the same load, and prints what each holds and uses.
@@ -58,12 +58,18 @@
 	}
 	defer os.RemoveAll(dir)
 	file := filepath.Join(dir, "config.json")
+	turns := []bool{false}
+	if what.calls {
+		turns = []bool{false, true}
+	}
 	for range rounds {
 		for _, b := range builds {
 			for _, size := range what.values {
 				s.Set(flagserver.Config{Value: strings.Repeat("v", size)})
-				if err := platformOnce(b, file, agent.Addr(), string(known), size, what.calls, lasts); err != nil {
-					return fmt.Errorf("%s: %w", b, err)
+				for _, calls := range turns {
+					if err := platformOnce(b, file, agent.Addr(), string(known), size, calls, lasts); err != nil {
+						return fmt.Errorf("%s: %w", b, err)
+					}
 				}
 			}
 		}
@@ -120,7 +126,7 @@
 	cmd.Process.Signal(syscall.SIGTERM)
 	cmd.Wait()
 	cpu := cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
-	fmt.Printf("%s, values of %d bytes: %.1f MB idle, %.1f MB after %d requests (%d odd), %.1f us CPU a request, p99 %v\n", filepath.Base(filepath.Dir(build)), size, idle, busy, l.done, l.odd,
+	fmt.Printf("%s, figures fetched %t, values of %d bytes: %.1f MB idle, %.1f MB after %d requests (%d odd), %.1f us CPU a request, p99 %v\n", filepath.Base(filepath.Dir(build)), calls, size, idle, busy, l.done, l.odd,
 		cpu.Seconds()*1e6/float64(l.done), l.quantile(.99))
 	return nil
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -260,3 +260,45 @@
 		}
 	})
 }
+
+// The old process may end at each step; the new one gets an error before it has confirmed, and an end after.
+func TestOldEndsAtEachStep(t *testing.T) {
+	socket := peer.Listen(t)
+	for steps, name := range []string{"after the hello", "in the state", "before the socket", "after the socket"} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			old(t, dir, func(c *net.UnixConn) {
+				l := &Link{c: c}
+				if kind, _, _, err := l.receive(stepWithin); err != nil || kind != kindHello {
+					t.Error(kind, err)
+				}
+				if steps > 0 {
+					l.send(kindState, []byte("ab"))
+				}
+				if steps > 1 {
+					l.send(kindState, []byte("c"))
+				}
+				if steps > 2 {
+					sum := binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, 3), crc32.ChecksumIEEE([]byte("abc")))
+					l.sendFile(kindListen, sum, socket.(syscall.Conn))
+				}
+			})
+			taken, err := Take(dir)
+			if steps < 3 {
+				if err == nil {
+					t.Fatal("taken from a process that has ended")
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer taken.Listener.Close()
+			defer taken.Link.Close()
+			taken.Link.Confirm() // to nobody: the socket is its own now, whatever this says
+			if _, _, err := taken.Link.Next(); err == nil {
+				t.Error("a connection came from nobody")
+			}
+		})
+	}
+}
