Tests: the scripted agent counts its connections without a race

The race detector found the counts of the agent on in-memory connections (crossings_test.go) written by several goroutines; they are atomic now. go test -race of the package passes, 22 s.

--- a/internal/membership/discovery/crossings_test.go
+++ b/internal/membership/discovery/crossings_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,25 +34,22 @@
 	indent  bool
 	pieces  int  // bytes of a list that are written at once; 0: all
 	noEnd   bool // the answer has neither length nor chunks
-	calls   int
-	open    int // connections
-	mostAll int
+	calls   atomic.Int32
+	open    atomic.Int32 // connections
+	mostAll atomic.Int32
 }
 
 func (a *agent) at() time.Duration { return time.Since(a.began) }
 
 func (a *agent) dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	what := a.does(a.calls)
-	a.calls++
+	what := a.does(int(a.calls.Add(1)) - 1)
 	if what == "refuse" {
 		return nil, errors.New("refused")
 	}
 	near, far := net.Pipe()
-	if a.open++; a.open > a.mostAll {
-		a.mostAll = a.open
-	}
+	a.mostAll.Store(max(a.mostAll.Load(), a.open.Add(1)))
 	go func() {
-		defer func() { far.Close(); a.open-- }()
+		defer func() { far.Close(); a.open.Add(-1) }()
 		a.serve(far, what)
 	}()
 	return near, nil
@@ -285,8 +283,8 @@
 						if worst = max(worst, took); took > toldWithin {
 							t.Fatalf("seed %d: heard %v after it was there to be had", seed, took)
 						}
-						if s.agent.mostAll > pushedCalls+2 {
-							t.Fatalf("seed %d: %d connections at once", seed, s.agent.mostAll)
+						if s.agent.mostAll.Load() > pushedCalls+2 {
+							t.Fatalf("seed %d: %d connections at once", seed, s.agent.mostAll.Load())
 						}
 					}
 					t.Logf("%v at worst", worst)
