Clients that leave are noticed wherever they wait; the last answer goes out before the end

The terms: no attempt more than 0.1 s after a client closed; a close over unread bytes resets a connection and takes the last answer with it; nothing read after the shutdown is sent on, and what was read before it has its answer.

Now a reader that uses nothing more still reads to the end; before an attempt of a request that has waited 30 ms, and when a connection has come up late, the client's socket is asked whether its other side has ended (poll, POLLRDHUP), also behind unread bytes; connections end their sending first and close with the client's own end or after 0.3 s, a refused one after 1.5 s as before; what was read before that is answered, -BUSY where it came after the shutdown began.

At shutdown connections that rest may wait 0.3 s for their client's own end.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -47,6 +47,26 @@
 	Answer(Answer)
 }
 
+// Leaver is a Caller that can be asked whether its client has left, also where nobody has read that yet.
+type Leaver interface{ Left() bool }
+
+// leftAfter is how long a request may have waited before its client is looked at again: no attempt may begin more than 0.1 s after
+// the client has gone, and its reader may be behind.
+const leftAfter = 30 * time.Millisecond
+
+// clientGone says that the client of a request that has waited has gone; the request is then over.
+func (c *Core) clientGone(r *Request, since time.Duration) bool {
+	if c.Now()-since < leftAfter {
+		return false
+	}
+	l, ok := r.Caller.(Leaver)
+	if !ok || !l.Left() {
+		return false
+	}
+	c.Gone(r)
+	return true
+}
+
 // Request is a client's request. A front fills the exported part in, checked, and hands it to Submit; from then on
 // the loop owns it.
 type Request struct {
@@ -106,7 +126,12 @@
 }
 
 // Command implements [upstream.Owner].
-func (a *attempt) Command(wait time.Duration) []byte { return a.r.Caller.Forward(wait) }
+func (a *attempt) Command(wait time.Duration) []byte {
+	if a.c.clientGone(a.r, a.At) {
+		return nil
+	}
+	return a.r.Caller.Forward(wait)
+}
 
 // Ended implements [upstream.Owner]. A value ends the request, and the outcome says so.
 func (a *attempt) Ended(res upstream.Result) {
@@ -273,7 +298,7 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	if r.ended || a.Until <= now || r.out > 1 && !c.Rules().Settings.SecondCopies {
+	if r.ended || a.Until <= now || c.clientGone(r, r.At) || r.out > 1 && !c.Rules().Settings.SecondCopies {
 		a.End(snowhall.Moot)
 		return
 	}
--- a/internal/front/resp2/client.go
+++ b/internal/front/resp2/client.go
@@ -29,8 +29,10 @@
 	firstWithin   = 2500 * time.Millisecond // from connecting, for the first command
 	commandWithin = 2500 * time.Millisecond // from its first bytes, for any later one
 	askCost       = 1 << 10                 // bytes of a request beside its text
-	lingerWithin  = 1500 * time.Millisecond // for the rest of what was refused
-	lingerBytes   = 64 << 20
+	usualRead     = 4 << 10                 // bytes of what is read and not used, at a time
+	restWithin    = 1500 * time.Millisecond // for the rest of what was refused
+	restMost      = 64 << 20                // bytes of it, and of what comes beside answers that are still owed
+	lingerWithin  = 300 * time.Millisecond  // after the last answer, for the client to end the connection too
 	mostLingering = 16
 	badPause      = 50 * time.Millisecond // before the next command is read, from the second bad one in a row on
 	badMost       = 16                    // bad commands in a row at which the connection is closed
@@ -66,8 +68,14 @@
 	out     []byte        // answers to be written
 	mem     *budget.Bytes // bears out: that of the pool that it asked last
 	writing bool          // a goroutine writes
-	last    bool          // to be closed once all is answered
+	behind  bool          // bytes were read and not yet looked through for commands
+	last    bool          // to be ended once all is answered: what is read from now on is refused
+	shut    bool          // ... as it is: nothing more is written, and the client's own end is awaited
+	refused bool          // what comes is refused: its rest is awaited for longer
+	lingers bool          // counted in Front.lingering
 	closed  bool
+
+	held bool // commands were not read for a while, so the client may have left behind them. The reader's
 }
 
 func newClient(fr *Front, nc net.Conn) *client {
@@ -89,6 +97,9 @@
 		switch {
 		case err == errMoving:
 			continue
+		case err == errShut:
+			c.discard()
+			return
 		case errors.Is(err, resp.ErrMalformed):
 			c.turnAway("-ERR Protocol error\r\n")
 			return
@@ -102,12 +113,10 @@
 			return
 		}
 		c.due = time.Time{}
-		// At a shutdown a connection that is always busy would never come to its end: what is read from then on
-		// counts as crossing the close, and the client sends it elsewhere.
-		if c.leaving() {
-			c.closeAfterAnswers()
+		if c.held && sock.Left(c.nc) {
 			return
 		}
+		c.held = false
 		if !c.command(m) {
 			return
 		}
@@ -120,24 +129,49 @@
 	if c.due.IsZero() && c.in.Partial() {
 		c.due = time.Now().Add(commandWithin)
 	}
-	if !c.due.IsZero() {
-		c.nc.SetReadDeadline(c.due)
-		c.timed = true
-	} else if c.timed {
-		c.nc.SetReadDeadline(time.Time{})
-		c.timed = false
+	if !c.awaits() {
+		return 0, errShut
 	}
 	if c.mayMove() { // after the deadline is set: Move sets another one after it has said so
 		return 0, errMoving
 	}
 	n, err := c.nc.Read(b)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && (c.due.IsZero() || time.Now().Before(c.due)) {
+	if n == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, err
+	}
+	if !c.came(n) {
+		return 0, errShut
+	}
+	if n == 0 && (c.due.IsZero() || time.Now().Before(c.due)) {
 		c.timed = true // Move's, to be taken off
 		return 0, errMoving
 	}
 	return n, err
 }
 
+var errShut = errors.New("the connection is shut: what comes crosses that")
+
+// awaits says that all commands that were read are taken up, and sets the deadline for the next. Now the connection may be shut, if it is to be; false: it is.
+func (c *client) awaits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.behind = false
+	c.endIfIdle()
+	if !c.shut && (!c.due.IsZero() || c.timed) {
+		c.nc.SetReadDeadline(c.due)
+		c.timed = !c.due.IsZero()
+	}
+	return !c.shut
+}
+
+// came says that bytes have been read: what commands they hold is answered before the connection is shut. false: it is shut.
+func (c *client) came(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.behind = n > 0
+	return !c.shut
+}
+
 var errMoving = errors.New("the connection is to be handed over")
 
 // mayMove says that the connection is to be handed to another process before more is read from it. With much of a command
@@ -184,6 +218,9 @@
 		}
 		return c.reply("+PONG\r\n")
 	case "Q.ASK", "Q.DO":
+		if c.leaving() { // one that is always busy would never come to its end
+			return c.reply("-BUSY\r\n")
+		}
 		pool, a, err := c.read1(name, args)
 		if pool == nil {
 			return c.unusable("-ERR no route leads anywhere\r\n")
@@ -280,6 +317,7 @@
 	ok := c.reply(line)
 	if c.bad > 1 && ok {
 		time.Sleep(badPause)
+		c.held = true
 	}
 	return ok
 }
@@ -291,11 +329,12 @@
 }
 
 // take keeps a place for the next answer. It waits while too many are kept already, or the answers before are not
-// read; nil: the connection ended. What it costs has been taken from the budget.
+// read; nil: the connection ends. What it costs has been taken from the budget.
 func (c *client) take(a *ask, cost int64) *slot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for (len(c.slots) >= mostPipelined || len(c.out) > mostUnread) && !c.closed {
+		c.held = true
 		c.room.Wait()
 	}
 	if c.closed {
@@ -346,7 +385,7 @@
 	} else if len(c.out) > 0 && !c.writing && !c.closed {
 		c.writeSome()
 	} else {
-		c.closeIfIdle()
+		c.endIfIdle()
 	}
 }
 
@@ -364,7 +403,7 @@
 		c.writing = true
 		go c.write()
 	default:
-		c.closeIfIdle()
+		c.endIfIdle()
 	}
 }
 
@@ -388,36 +427,48 @@
 	c.writing = false
 	c.nc.SetWriteDeadline(time.Time{})
 	c.room.Broadcast()
-	c.closeIfIdle()
+	c.endIfIdle()
 }
 
-// turnAway answers what can't be read and ends the connection. Closing it while the client still sends would
-// throw the error line away, so what comes is read for a while.
+// turnAway answers what can't be read and ends the connection, after what was asked before is answered. Closing it while the
+// client still sends would throw the error line away, so what comes is read for a while.
 func (c *client) turnAway(line string) {
-	c.answer(c.take(nil, 0), []byte(line))
 	c.mu.Lock()
-	for (len(c.slots) > 0 || len(c.out) > 0 || c.writing) && !c.closed {
-		c.room.Wait()
-	}
-	closed := c.closed
-	c.mu.Unlock()
-	half, ok := c.nc.(interface{ CloseWrite() error })
-	if closed || !ok {
+	if c.closed {
+		c.mu.Unlock()
 		return
 	}
-	defer c.fr.lingering.Add(-1)
-	if c.fr.lingering.Add(1) > mostLingering || half.CloseWrite() != nil {
-		return
+	s := &slot{mem: c.mem} // no place is waited for: nothing follows it
+	c.slots = append(c.slots, s)
+	c.idle.Store(0)
+	c.last, c.refused, c.behind = true, true, false
+	c.mu.Unlock()
+	c.answer(s, []byte(line))
+	c.discard()
+}
+
+// discard reads what comes and uses none of it, up to the end of the connection: else a client that leaves while answers are
+// still owed would not be noticed.
+func (c *client) discard() {
+	c.in.Release()
+	c.mu.Lock()
+	if !c.shut {
+		c.nc.SetReadDeadline(time.Time{})
 	}
-	c.nc.SetReadDeadline(time.Now().Add(lingerWithin))
-	b := make([]byte, 32<<10)
-	for left := lingerBytes; left > 0; {
+	c.mu.Unlock()
+	b := make([]byte, usualRead)
+	for left := restMost; left > 0; {
 		n, err := c.nc.Read(b)
 		if err != nil {
 			return
 		}
 		left -= n
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.shut && !c.closed {
+		c.room.Wait()
+	}
 }
 
 // Idle implements [budget.Holder].
@@ -425,37 +476,48 @@
 	return time.Duration(c.idle.Load()), c.spoken.Load()
 }
 
-// GiveWay implements [budget.Holder].
+// GiveWay implements [budget.Holder]. The place is wanted now: the client's own end is not waited for.
 func (c *client) GiveWay() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.last = true
-	c.closeIfIdle()
-	c.mu.Unlock()
+	if c.shut || c.owesNothing() {
+		c.close()
+	}
 }
 
-// leaving says that the connection is to be closed after the answers that it owes.
+// leaving says that the connection is to be ended after the answers that it owes.
 func (c *client) leaving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.last
 }
 
-// closeAfterAnswers closes the connection once all that it was asked is answered.
-func (c *client) closeAfterAnswers() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.last = true
-	c.closeIfIdle()
-	for !c.closed {
-		c.room.Wait()
-	}
+// owesNothing says that all that was read is answered, and the answers are written. The caller holds mu.
+func (c *client) owesNothing() bool {
+	return len(c.slots) == 0 && len(c.out) == 0 && !c.writing && !c.behind
 }
 
-// closeIfIdle closes a connection that is to go when nothing is owed on it. The caller holds mu.
-func (c *client) closeIfIdle() {
-	if c.last && len(c.slots) == 0 && len(c.out) == 0 && !c.writing {
+// endIfIdle ends a connection that is to go when nothing is owed on it. It ends its sending first and closes when the client has
+// ended too, or has not for lingerWithin: a close over bytes that nobody has read resets the connection, and the reset may reach
+// the client before the last answer does. The caller holds mu.
+func (c *client) endIfIdle() {
+	if !c.last || !c.owesNothing() || c.shut || c.closed {
+		return
+	}
+	c.lingers = c.refused
+	if half, ok := c.nc.(interface{ CloseWrite() error }); !ok ||
+		c.refused && c.fr.lingering.Add(1) > c.fr.mostLingering() || half.CloseWrite() != nil {
 		c.close()
+		return
 	}
+	c.shut = true
+	within := lingerWithin
+	if c.refused {
+		within = restWithin
+	}
+	c.nc.SetReadDeadline(time.Now().Add(within))
+	c.room.Broadcast()
 }
 
 // close ends the connection. The caller holds mu.
@@ -463,6 +525,10 @@
 	if !c.closed {
 		c.closed = true
 		c.nc.Close()
+		if c.lingers {
+			c.lingers = false
+			c.fr.lingering.Add(-1)
+		}
 		c.room.Broadcast()
 	}
 }
--- a/internal/front/resp2/front.go
+++ b/internal/front/resp2/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -99,9 +100,7 @@
 			continue
 		}
 		if !fr.env.Conns.Room() {
-			nc.SetWriteDeadline(time.Now().Add(time.Second))
-			nc.Write(busyAnswer(comeBack)) // nothing was read, so nothing has run
-			nc.Close()
+			fr.turnAway(nc)
 			continue
 		}
 		c := newClient(fr, nc)
@@ -110,6 +109,30 @@
 	}
 }
 
+// mostLingering is how many connections that were refused may wait for the client's own end: few against those that may be held,
+// as some of them are not counted there.
+func (fr *Front) mostLingering() int64 {
+	return int64(max(1, min(mostLingering, fr.env.Conns.Most()/32)))
+}
+
+// turnAway refuses a connection for which there is no room. Nothing is taken of what comes on it, so nothing has run; it is read for
+// a moment, as a close over it would reset the connection, and the answer would be lost.
+func (fr *Front) turnAway(nc net.Conn) {
+	nc.SetDeadline(time.Now().Add(lingerWithin))
+	nc.Write(busyAnswer(comeBack))
+	half, ok := nc.(interface{ CloseWrite() error })
+	if fr.lingering.Add(1) > fr.mostLingering() || !ok || half.CloseWrite() != nil {
+		fr.lingering.Add(-1)
+		nc.Close()
+		return
+	}
+	go func() {
+		io.Copy(io.Discard, io.LimitReader(nc, restMost))
+		nc.Close()
+		fr.lingering.Add(-1)
+	}()
+}
+
 // deadliner is a listener that can be made to take nothing for a time, such as that of TCP.
 type deadliner interface{ SetDeadline(time.Time) error }
 
@@ -204,7 +227,7 @@
 	}
 	for _, c := range all {
 		c.mu.Lock()
-		c.closeIfIdle()
+		c.endIfIdle()
 		c.mu.Unlock()
 	}
 	return len(all) == 0 && fr.ended.Load()
--- a/internal/front/resp2/front_test.go
+++ b/internal/front/resp2/front_test.go
@@ -1,8 +1,17 @@
 package resp2
 
 import (
+	"io"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
+
+	"snowhall/internal/budget"
+	"snowhall/internal/core"
+	"snowhall/internal/resp"
+	"snowhall/internal/sock"
+	"snowhall/internal/standin/peer"
 )
 
 func TestBusyAnswer(t *testing.T) {
@@ -12,3 +21,49 @@
 		}
 	}
 }
+
+// A connection for which there is no place is refused with what it has sent lying unread: the refusal is read, and the end behind it is no reset. Those that
+// may wait for their client's own end are few, and their places come back.
+func TestRefusalOverUnreadBytes(t *testing.T) {
+	ln := peer.Listen(t)
+	now := func() time.Duration { return 1 }
+	env := &core.Env{Memory: budget.NewBytes(1 << 20), Conns: budget.NewConns(64, now), Now: now, Coarse: now}
+	fr := New(env, Config{}, ln, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for range 4 {
+		c := peer.Dial(t, ln.Addr().String())
+		nc, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Write(peer.Command("Q.ASK", peer.Customer, "1", peer.List, strings.Repeat("b", resp.MostValue)))
+		for sock.Quiet(nc) {
+			time.Sleep(time.Millisecond)
+		}
+		fr.turnAway(nc)
+		c.Wants("-BUSY 100")
+		if b, err := io.ReadAll(c.In); err != nil || len(b) > 0 {
+			t.Fatalf("%.40q and %v, want the end", b, err)
+		}
+		c.NC.Close()
+		for end := time.Now().Add(peer.Patient); fr.lingering.Load() > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("the place does not come back")
+			}
+		}
+	}
+	var all []*peer.Peer
+	for range 5 {
+		all = append(all, peer.Dial(t, ln.Addr().String()))
+		nc, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		fr.turnAway(nc)
+	}
+	if n := fr.lingering.Load(); n > fr.mostLingering() {
+		t.Errorf("%d connections linger, %d may", n, fr.mostLingering())
+	}
+	for _, c := range all { // those beyond are refused too
+		c.Wants("-BUSY 100")
+	}
+}
--- a/internal/front/resp2/request.go
+++ b/internal/front/resp2/request.go
@@ -16,6 +16,7 @@
 	"snowhall/internal/core"
 	"snowhall/internal/resp"
 	"snowhall/internal/route"
+	"snowhall/internal/sock"
 )
 
 // lateAsk is how much longer than its class's time a client may say that it waits.
@@ -196,3 +197,14 @@
 	}
 	return b
 }
+
+// Left implements [core.Leaver]. The connection of a client that has left is closed, or who waits on it would wait on.
+func (a *ask) Left() bool {
+	if !sock.Left(a.conn.nc) {
+		return false
+	}
+	a.conn.mu.Lock()
+	a.conn.close()
+	a.conn.mu.Unlock()
+	return true
+}
--- /dev/null
+++ b/internal/service/crossings_test.go
@@ -0,0 +1,283 @@
+package service
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"snowhall/internal/resp"
+	"snowhall/internal/standin/peer"
+)
+
+// Here two events cross: each test holds one side back until the other has come. docs/design/crossings.md lists them.
+
+// wantsCleanEnd reads on up to the end of a connection, which must be no reset: that may overtake what was written before it.
+func wantsCleanEnd(t *testing.T, c *peer.Peer) {
+	t.Helper()
+	if b, err := io.ReadAll(c.In); err != nil || len(b) > 0 {
+		t.Fatalf("%.40q and %v, want the end", b, err)
+	}
+}
+
+// first reads a backend's next command and says which request it is for.
+func first(b *peer.Peer) string { return b.Message()[2] }
+
+// A client asks, sends what is no command and leaves. It has gone, though its connection is one on which nothing is read any more for use.
+func TestClientLeavesBehindWhatIsNoCommand(t *testing.T) {
+	ln := peer.Listen(t)
+	w := start(t, []string{ln.Addr().String()})
+	c := w.dial()
+	c.Write(peer.Command("Q.ASK", peer.Customer, "1", peer.List) + "nonsense\r\n")
+	b := peer.Accept(t, ln)
+	first(b)
+	c.NC.Close()
+	b.WantsEnd()
+	w.left(1)
+}
+
+// A client leaves while the front door is ending, with a request out.
+func TestClientLeavesAmidAShutdown(t *testing.T) {
+	ln := peer.Listen(t)
+	w := start(t, []string{ln.Addr().String()})
+	c, idle := w.dial(), w.dial()
+	idle.Command("PING")
+	idle.Wants("+PONG")
+	c.Command("Q.ASK", peer.Customer, "1", peer.List)
+	b := peer.Accept(t, ln)
+	first(b)
+	w.stop()
+	idle.WantsEnd()
+	c.Command("Q.ASK", peer.Customer, "2", peer.List) // after the shutdown
+	c.NC.Close()
+	b.WantsEnd()
+	w.left(1)
+}
+
+// A client sends commands that can't be used, each read after a pause, then a good one, and leaves: by the time that one is read nobody waits for it.
+func TestClientLeavesBehindBadCommands(t *testing.T) {
+	ln := peer.Listen(t)
+	w := start(t, []string{ln.Addr().String()})
+	c := w.dial()
+	c.Write(strings.Repeat(peer.Command("NONE"), 4) + peer.Command("Q.ASK", peer.Customer, "late", peer.List))
+	c.NC.Close()
+	w.noClients()
+	w.dial().Command("Q.ASK", peer.Customer, "next", peer.List)
+	if id := first(peer.Accept(t, ln)); id != "next" {
+		t.Errorf("request %q is sent on", id)
+	}
+}
+
+// A client leaves behind so many commands that no more of them are read: the end of its connection is not read either. A further attempt must not begin.
+func TestClientLeavesBehindUnreadCommands(t *testing.T) {
+	ln := peer.Listen(t)
+	w := start(t, []string{ln.Addr().String()})
+	c := w.dial()
+	c.Command("Q.ASK", peer.Customer, "1", peer.List)
+	b := peer.Accept(t, ln)
+	first(b)
+	c.Write(strings.Repeat(peer.Command("PING"), 2000))
+	c.NC.Close()
+	time.Sleep(50 * time.Millisecond) // the request has waited: no more is looked at for one that has just come
+	b.Write("-ERR failed\r\n")
+	w.nothingOpen()
+	next := w.dial()
+	next.Command("Q.ASK", peer.Customer, "next", peer.List)
+	if id := first(b); id != "next" {
+		t.Errorf("request %q is sent on", id)
+	}
+	b.Write("*1\r\n" + peer.Bulk("value"))
+	next.Wants("value")
+}
+
+// A client leaves behind unread commands while a connection for its request is coming up.
+func TestClientLeavesWhileAConnectionComesUp(t *testing.T) {
+	addr, let := lateListener(t)
+	w := start(t, []string{addr})
+	c := w.dial()
+	c.Write(peer.Command("Q.ASK", peer.Customer, "1", peer.List) + strings.Repeat(peer.Command("PING"), 2000))
+	w.oneOpen()
+	c.NC.Close()
+	time.Sleep(50 * time.Millisecond)
+	b := let()
+	w.nothingOpen()
+	b.WantsEnd()
+}
+
+// The last answer of a connection that is to end reaches its client, whatever the client has sent meanwhile and nobody has read: the connection ends, and is
+// not reset. What came after the end is sent to nobody.
+func TestLastAnswerBeforeTheEnd(t *testing.T) {
+	ln := peer.Listen(t)
+	w := start(t, []string{ln.Addr().String()})
+	c, idle := w.dial(), w.dial()
+	idle.Command("PING")
+	idle.Wants("+PONG")
+	c.Command("Q.DO", peer.Customer, "1", peer.Unsafe, "body")
+	b := peer.Accept(t, ln)
+	first(b)
+	w.stop()
+	idle.WantsEnd()
+	body := strings.Repeat("b", resp.MostValue)
+	for i := range 4 { // more than one read takes
+		c.Command("Q.DO", peer.Customer, fmt.Sprint("late", i), peer.Unsafe, body)
+	}
+	b.Write("*1\r\n" + peer.Bulk("value"))
+	c.Wants("value")
+	for { // those of them that were read before the end
+		m, err := c.Try()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil || m[0] != "-BUSY" {
+			t.Fatalf("%q and %v, want refusals and the end", m, err)
+		}
+	}
+	c.NC.Close()
+	<-w.p.Done()
+	b.WantsEnd()
+}
+
+// A command that comes in the very moment in which a resting connection is shut is answered, or the connection ends with nothing said and nothing sent on:
+// the client then sends it elsewhere. It is never reset.
+func TestRequestCrossesTheEnd(t *testing.T) {
+	ln := peer.Listen(t)
+	answered, crossed := 0, 0
+	for range 8 {
+		w := start(t, []string{ln.Addr().String()})
+		var all []*peer.Peer
+		for range 8 {
+			c := w.dial()
+			c.Command("PING")
+			c.Wants("+PONG")
+			all = append(all, c)
+		}
+		w.stop()
+		all[0].WantsEnd()
+		for _, c := range all[1:] {
+			if _, err := io.WriteString(c.NC, peer.Command("Q.ASK", peer.Customer, "1", peer.List)); err != nil && !errors.Is(err, syscall.EPIPE) {
+				t.Fatal(err)
+			}
+			switch m, err := c.Try(); {
+			case err == nil && m[0] == "-BUSY":
+				answered++
+			case errors.Is(err, io.EOF):
+				crossed++
+			default:
+				t.Fatalf("%q and %v", m, err)
+			}
+			c.NC.Close()
+		}
+		<-w.p.Done()
+	}
+	t.Logf("%d answered, %d crossed", answered, crossed)
+	ln.Close()
+	if nc, err := ln.Accept(); err == nil {
+		nc.Close()
+		t.Error("something was sent on")
+	}
+}
+
+// One for whom there is no place reads why, whatever it has sent: its connection ends and is not reset.
+func TestTurnedAwayReadsWhy(t *testing.T) {
+	w := start(t, nil, func(c *Config, t *testing.T) { c.Sockets = 256 })
+	most := w.p.env.Conns.Most()
+	for i := range most { // each with a request that waits for a backend
+		w.dial().Command("Q.ASK", peer.Customer, fmt.Sprint(i), peer.List)
+	}
+	w.open(most)
+	for range 3 {
+		c := w.dial()
+		c.Write(peer.Command("Q.DO", peer.Customer, "x", peer.Keyed, strings.Repeat("b", resp.MostValue)))
+		c.Wants("-BUSY 100")
+		wantsCleanEnd(t, c)
+		c.NC.Close()
+	}
+}
+
+// holds waits until the loop says that something is so.
+func (w *world) holds(what string, is func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(peer.Patient); ; time.Sleep(time.Millisecond) {
+		got := make(chan bool, 1)
+		w.p.Post(func() { got <- is() })
+		if <-got {
+			return
+		}
+		if time.Now().After(end) {
+			w.t.Fatalf("it never came to this: %s", what)
+		}
+	}
+}
+
+func (w *world) nothingOpen() { w.t.Helper(); w.open(0) }
+func (w *world) oneOpen()     { w.t.Helper(); w.open(1) }
+
+func (w *world) open(n int) {
+	w.t.Helper()
+	w.holds(fmt.Sprint(n, " requests open"), func() bool { return w.p.Unanswered() == n })
+}
+
+// left says that so many requests ended since their clients had left, and not because their time was up.
+func (w *world) left(n int64) {
+	w.t.Helper()
+	if got := w.p.Figures.Gone.Load(); got != n {
+		w.t.Errorf("%d requests ended with their clients, want %d", got, n)
+	}
+}
+
+func (w *world) noClients() {
+	w.t.Helper()
+	w.holds("no client is connected", func() bool { return w.p.env.Conns.Len() == 0 })
+}
+
+// lateListener is a listener whose queue is full, so that a connection to it comes up when let makes room.
+func lateListener(t *testing.T) (addr string, let func() *peer.Peer) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	sa, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr = fmt.Sprintf("127.0.0.1:%d", sa.(*syscall.SockaddrInet4).Port)
+	filler, err := net.Dial("tcp", addr) // the queue holds one
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		filler.Close()
+		syscall.Close(fd)
+	})
+	accept := func() net.Conn {
+		got, _, err := syscall.Accept(fd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fileConn(t, got)
+	}
+	return addr, func() *peer.Peer {
+		accept().Close() // the filler's
+		return peer.New(t, accept())
+	}
+}
+
+func fileConn(t *testing.T, fd int) net.Conn {
+	t.Helper()
+	f := os.NewFile(uintptr(fd), "connection")
+	defer f.Close()
+	nc, err := net.FileConn(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return nc
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -4,6 +4,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // WriteNow writes what the socket takes at once, without waiting, and returns how much that was. Nothing else may be
@@ -62,3 +64,23 @@
 	})
 	return err == nil && still
 }
+
+// Left says whether the other side has ended the connection, also behind bytes that nobody has read yet. It works beside a goroutine
+// that reads. Where the system can't tell, it says no.
+func Left(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	left := false
+	err = rc.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		left = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err != nil || left
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -47,7 +47,8 @@
 
 // Owner is what an attempt is made for. The loop goroutine calls it.
 type Owner interface {
-	// Command is the whole command for the backend, which tells it how long this side will wait.
+	// Command is the whole command for the backend, which tells it how long this side will wait; nil: nobody waits any more, and
+	// the attempt has been cancelled.
 	Command(wait time.Duration) []byte
 	// Begun says that a long value of so many bytes comes, which is to be passed on piece by piece; nil: nobody wants it.
 	Begun(size int) Sink
@@ -557,7 +558,9 @@
 	attempt := c.attempt != nil
 	switch {
 	case attempt:
-		b = c.attempt.Owner.Command(c.attempt.Until - c.p.l.Now())
+		if b = c.attempt.Owner.Command(c.attempt.Until - c.p.l.Now()); b == nil {
+			return
+		}
 	case c.probe != nil:
 		b = []byte("*1\r\n$4\r\nPING\r\n")
 	default:
