--- a/internal/standin/catalog/catalog.go
+++ b/internal/standin/catalog/catalog.go
@@ -38,8 +38,11 @@
 }
 
 // Start listens on loopback with a list.
-func Start(list ...Endpoint) (*Agent, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func Start(list ...Endpoint) (*Agent, error) { return StartAt("127.0.0.1:0", list...) }
+
+// StartAt listens on an address with a list.
+func StartAt(addr string, list ...Endpoint) (*Agent, error) {
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
