Repeats go out within their window, drains come before what they end, waits in the buffer count

- A repeat of a keyed request was decided on within the window in which backends drop repeats (mayRepeat) and written when its connection came up, which may be after that: a second effect.
Send tells now by when the last byte is to be written, 20 ms before the window ends; an attempt that is not whole by then ends, unsent where nothing is out and as one that may have run where a part is.
- A drain ended attempts whose connections were coming up before the module had the list (core.Listed), so it chose anew among backends of before, the drained one included: the request's second and last attempt was lost to it, and an unsafe one refused.
The list goes first now.
- A command that had been read and waited behind bad ones (50 ms each) had its time from when it was looked at, so its backend was told more than was left to the client: d=1999 of 2000 after 200 ms.
Its time counts from the read.
- A connection on which nothing is asked was closed at its deadline over whatever had just come; it ends its sending first, as at a shutdown.

Seen failing on the program before: TestDrainWhileAConnectionComesUp, TestWaitInTheBufferCounts. Tests of the module, core, fronts, upstream, service: passed.

--- a/api.go
+++ b/api.go
@@ -254,6 +254,10 @@
 	ID      uint64
 	Backend string
 	Timeout time.Duration // the attempt ends as Timeout after this
+
+	// By is when its last byte is to be written, on the door's clock, or the attempt ends unsent: after that a repeat could have a second effect. 0: there
+	// is no such time.
+	By time.Duration
 }
 
 // Refuse is the final answer: turned away, trying again is harmless.
--- a/causes_test.go
+++ b/causes_test.go
@@ -247,3 +247,27 @@
 		}
 	}
 }
+
+// A repeat of a keyed request that may have run is to be written within the window in which backends know it for one, and not only to be decided on then: its
+// connection may come up after that. A first attempt has no such time.
+func TestARepeatIsWrittenWithinItsWindow(t *testing.T) {
+	set := basic()
+	set.Classes[1].Group = GroupAll
+	d := open(t, set, backends(2)...)
+	now := time.Second
+	sent := only[Send](d.Step(now, []Event{ask(1, 1, 2)}))
+	if len(sent) != 1 || sent[0].By != 0 {
+		t.Fatalf("sent %+v", sent)
+	}
+	again := only[Send](d.Step(now+100*ms, []Event{Outcome{ID: 1, Attempt: 0, Backend: sent[0].Backend, Status: Reset, Latency: 100 * ms}}))
+	if want := now + set.Classes[1].Window - repeatWay; len(again) != 1 || again[0].By != want {
+		t.Fatalf("sent again %+v, want by %v", again, want)
+	}
+	// One that never ran may go at any time.
+	d = open(t, set, backends(2)...)
+	sent = only[Send](d.Step(now, []Event{ask(1, 1, 2)}))
+	again = only[Send](d.Step(now+100*ms, []Event{Outcome{ID: 1, Attempt: 0, Backend: sent[0].Backend, Status: ConnectFailed, Latency: 100 * ms}}))
+	if len(again) != 1 || again[0].By != 0 {
+		t.Fatalf("sent again %+v", again)
+	}
+}
--- a/door.go
+++ b/door.go
@@ -96,6 +96,7 @@
 	attachUse    = 2 * time.Second         // with few doors, a server back by hand is used within this
 	evidenceLost = 2                       // answers owed as which another door's word on a silence counts
 	forgetAfter  = 60 * time.Second        // an idle customer is forgotten
+	repeatWay    = 20 * time.Millisecond   // a repeat is written whole so long before its window ends
 )
 
 // prime sets what a door takes for granted before it has seen anything.
@@ -625,10 +626,15 @@
 	if cl.Effect != Keyed {
 		return cl.Effect == Safe
 	}
-	return d.now < r.ranAt+cl.Window && (cl.Group == GroupAll ||
+	return d.now < d.repeatBy(r) && (cl.Group == GroupAll ||
 		s.zone == r.ranOn.zone && (cl.Group == GroupZone || s.cell == r.ranOn.cell))
 }
 
+// repeatBy is when the window ends in which a repeat of a keyed request is known for one, less its way there.
+func (d *Door) repeatBy(r *request) time.Duration {
+	return r.ranAt + d.set.Classes[r.class].Window - repeatWay
+}
+
 // place queues a request at a server and releases what may go.
 func (d *Door) place(r *request) {
 	if r.grant {
@@ -808,7 +814,11 @@
 	if s.cold {
 		s.book.Sent(d.now, r.size)
 	}
-	d.act(Send{r.id, s.name, limit})
+	by := time.Duration(0)
+	if r.ran && d.set.Classes[r.class].Effect == Keyed {
+		by = d.repeatBy(r)
+	}
+	d.act(Send{r.id, s.name, limit, by})
 }
 
 // outcome takes the end of an attempt.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -225,15 +225,17 @@
 		if e.State == snowhall.InService {
 			c.ready.Store(true)
 		}
-		c.upstream.Listed(e.Backend, e.Addr)
 		list.Entries = append(list.Entries, e.Backend)
 	}
+	c.Tell(list) // first: attempts that end with it must not lead to others at backends that it takes out
+	for _, e := range u.Entries {
+		c.upstream.Listed(e.Backend, e.Addr)
+	}
 	if u.Scope == snowhall.Whole || u.Scope == snowhall.Cached {
 		c.upstream.KeepOnly(u.Entries)
 	}
 	c.names.listed(u)
 	c.Trace.Line("list", "scope=%d entries=%d", u.Scope, len(u.Entries))
-	c.Tell(list)
 }
 
 // Ready says whether a backend in service has been known. Any goroutine may call it.
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -292,7 +292,7 @@
 func (c *Core) send(r *Request, s snowhall.Send) {
 	now := c.Now()
 	a := &attempt{c: c, r: r, no: len(r.attempts)}
-	a.Attempt = upstream.Attempt{Backend: s.Backend, At: now, Until: r.due, Owner: a}
+	a.Attempt = upstream.Attempt{Backend: s.Backend, At: now, Until: r.due, By: s.By, Owner: a}
 	if s.Timeout > 0 {
 		a.Until = min(a.Until, now+s.Timeout)
 	}
--- a/internal/front/resp2/client.go
+++ b/internal/front/resp2/client.go
@@ -75,11 +75,12 @@
 	lingers bool          // counted in Front.lingering
 	closed  bool
 
-	held bool // commands were not read for a while, so the client may have left behind them. The reader's
+	readAt time.Duration // when the bytes were read in which the last command ended, on the loop's clock. The reader's
+	held   bool          // commands were not read for a while, so the client may have left behind them. The reader's
 }
 
 func newClient(fr *Front, nc net.Conn) *client {
-	c := &client{fr: fr, gate: fr.env.Gate, mem: fr.env.Memory, nc: nc, due: time.Now().Add(firstWithin)}
+	c := &client{fr: fr, gate: fr.env.Gate, mem: fr.env.Memory, nc: nc, due: time.Now().Add(firstWithin), readAt: fr.env.Now()}
 	c.room = sync.NewCond(&c.mu)
 	c.in = resp.Reader{From: c, Memory: fr.env.Memory}
 	c.idle.Store(int64(fr.env.Now()))
@@ -109,6 +110,9 @@
 		case errors.Is(err, os.ErrDeadlineExceeded) && c.in.Partial(): // else no line: it would cross a request
 			c.turnAway("-ERR the command has not come in time\r\n")
 			return
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			c.rest()
+			return
 		case err != nil:
 			return
 		}
@@ -168,7 +172,9 @@
 func (c *client) came(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.behind = n > 0
+	if c.behind = n > 0; c.behind {
+		c.readAt = c.fr.env.Now()
+	}
 	return !c.shut
 }
 
@@ -266,7 +272,7 @@
 	if !c.join(pool) {
 		return pool, nil, errCrowded
 	}
-	a, err := c.fr.parse(pool, name, args)
+	a, err := c.fr.parse(pool, name, args, c.readAt)
 	return pool, a, err
 }
 
@@ -336,6 +342,7 @@
 	for (len(c.slots) >= mostPipelined || len(c.out) > mostUnread) && !c.closed {
 		c.held = true
 		c.room.Wait()
+		c.readAt = c.fr.env.Now() // the time for which a command waits for those before it does not count
 	}
 	if c.closed {
 		c.mem.Give(cost)
@@ -447,6 +454,15 @@
 	c.discard()
 }
 
+// rest ends a connection on which nothing is asked.
+func (c *client) rest() {
+	c.mu.Lock()
+	c.last = true
+	c.endIfIdle()
+	c.mu.Unlock()
+	c.discard()
+}
+
 // discard reads what comes and uses none of it, up to the end of the connection: else a client that leaves while answers are
 // still owed would not be noticed.
 func (c *client) discard() {
--- a/internal/front/resp2/request.go
+++ b/internal/front/resp2/request.go
@@ -63,7 +63,7 @@
 }
 
 // parse reads a request. What it can't read goes nowhere.
-func (fr *Front) parse(pool *core.Core, name string, args [][]byte) (*ask, error) {
+func (fr *Front) parse(pool *core.Core, name string, args [][]byte, at time.Duration) (*ask, error) {
 	if len(args) != 4 && len(args) != 5 {
 		return nil, fmt.Errorf("wrong number of arguments for '%s'", name)
 	}
@@ -75,7 +75,7 @@
 		return nil, errors.New("the id is empty")
 	}
 	a := &ask{pool: pool, args: args, list: 3}
-	a.Caller, a.ID, a.At = a, string(args[2]), fr.env.Now()
+	a.Caller, a.ID, a.At = a, string(args[2]), at
 	a.Class, a.Plan, a.Customer = -1, -1, strings.ToLower(string(args[1]))
 	rules := pool.Rules()
 	key, first := false, false
--- a/internal/service/crossings_test.go
+++ b/internal/service/crossings_test.go
@@ -4,8 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -97,14 +95,17 @@
 
 // A client leaves behind unread commands while a connection for its request is coming up.
 func TestClientLeavesWhileAConnectionComesUp(t *testing.T) {
-	addr, let := lateListener(t)
+	addr, let := peer.ListenLate(t)
 	w := start(t, []string{addr})
 	c := w.dial()
 	c.Write(peer.Command("Q.ASK", peer.Customer, "1", peer.List) + strings.Repeat(peer.Command("PING"), 2000))
 	w.oneOpen()
 	c.NC.Close()
 	time.Sleep(50 * time.Millisecond)
-	b := let()
+	b := let(peer.Patient)
+	if b == nil {
+		t.Fatal("the connection does not come up")
+	}
 	w.nothingOpen()
 	b.WantsEnd()
 }
@@ -235,49 +236,59 @@
 	w.holds("no client is connected", func() bool { return w.p.env.Conns.Len() == 0 })
 }
 
-// lateListener is a listener whose queue is full, so that a connection to it comes up when let makes room.
-func lateListener(t *testing.T) (addr string, let func() *peer.Peer) {
-	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
-		t.Fatal(err)
-	}
-	sa, err := syscall.Getsockname(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr = fmt.Sprintf("127.0.0.1:%d", sa.(*syscall.SockaddrInet4).Port)
-	filler, err := net.Dial("tcp", addr) // the queue holds one
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		filler.Close()
-		syscall.Close(fd)
-	})
-	accept := func() net.Conn {
-		got, _, err := syscall.Accept(fd)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return fileConn(t, got)
+// A command that was read and waited behind others tells its backend what is left to the client by then.
+func TestWaitInTheBufferCounts(t *testing.T) {
+	ln := peer.Listen(t)
+	w := start(t, []string{ln.Addr().String()})
+	c := w.dial()
+	c.Write(strings.Repeat(peer.Command("NONE"), 5) + peer.Command("Q.ASK", peer.Customer, "1", strings.Replace(peer.List, "d=20000", "d=2000", 1)))
+	list := peer.Accept(t, ln).Message()[3] // four pauses of 50 ms later
+	d := 0
+	if _, err := fmt.Sscanf(list[strings.Index(list, "d="):], "d=%d", &d); err != nil || d > 1800 {
+		t.Errorf("%s is told, %v", list, err)
 	}
-	return addr, func() *peer.Peer {
-		accept().Close() // the filler's
-		return peer.New(t, accept())
+}
+
+// A backend that an attempt is still being connected to begins to drain, with the news of another: the next attempt goes to that one. Each request has two.
+func TestDrainWhileAConnectionComesUp(t *testing.T) {
+	addr, _ := peer.ListenLate(t)
+	ln := peer.Listen(t)
+	w := start(t, []string{addr}, func(c *Config, t *testing.T) { c.Settings.MaxAttempts = 2 })
+	c := w.dial()
+	c.Command("Q.DO", peer.Customer, "1", peer.Unsafe, "body")
+	w.oneOpen()
+	m := members(2, addr, ln.Addr().String())
+	m.Endpoints[0].Status = "DRAINING"
+	w.news <- m
+	b := peer.Accept(t, ln)
+	if id := first(b); id != "1" {
+		t.Errorf("request %q", id)
 	}
+	b.Write("*1\r\n" + peer.Bulk("value"))
+	c.Wants("value")
 }
 
-func fileConn(t *testing.T, fd int) net.Conn {
-	t.Helper()
-	f := os.NewFile(uintptr(fd), "connection")
-	defer f.Close()
-	nc, err := net.FileConn(f)
-	if err != nil {
-		t.Fatal(err)
+// before that.
+func TestWindowEndsWhileAConnectionComesUp(t *testing.T) {
+	late, let := peer.ListenLate(t)
+	ln := peer.Listen(t)
+	w := start(t, []string{ln.Addr().String()}, func(c *Config, t *testing.T) {
+		c.Settings.MaxAttempts, c.Settings.Classes[1].Window = 2, 400*time.Millisecond
+	})
+	c := w.dial()
+	c.Command("Q.DO", peer.Customer, "1", peer.Keyed, "body")
+	b := peer.Accept(t, ln)
+	first(b)
+	m := members(2, ln.Addr().String(), late)
+	m.Endpoints[0].Status = "DRAINING"
+	w.news <- m
+	w.p.settled()
+	b.NC.Close()                                             // it may have run: the repeat is sent to the other, and its connection comes up after a second
+	time.Sleep(500 * time.Millisecond)                       // the window is over
+	if other := let(2500 * time.Millisecond); other != nil { // else it was given up before
+		if m, err := other.Try(); err == nil {
+			t.Errorf("%q is sent after the window", m)
+		}
 	}
-	return nc
+	c.WantsPrefix("-")
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -38,8 +38,10 @@
 	Backend string
 	At      time.Duration // when it was sent, on the loop's clock
 	Until   time.Duration // when it ends as Timeout
+	By      time.Duration // when its last byte is to be written, or it ends unsent; 0: there is no such time
 	Owner   Owner
 	timeout *loop.Timer
+	late    *loop.Timer // at By
 	conn    *conn
 	ended   bool
 	first   time.Duration // when a long value began to come; 0: none has
@@ -76,6 +78,7 @@
 	}
 	a.ended = true
 	a.timeout.Stop()
+	a.late.Stop()
 	a.Owner.Ended(r)
 }
 
@@ -347,11 +350,24 @@
 		bs.silent(b, a.At)
 		bs.drop(c, status)
 	})
+	if a.By > 0 {
+		a.late = bs.l.At(a.By, func() { bs.tooLate(c) })
+	}
 	if c.nc != nil {
 		c.start()
 	}
 }
 
+// tooLate takes an attempt back that is not written whole when it should be. With a part of it out, the rest may be too.
+func (bs *Pool) tooLate(c *conn) {
+	switch c.sent.Load() {
+	case unsent:
+		bs.drop(c, snowhall.Moot)
+	case sending:
+		bs.drop(c, snowhall.Reset)
+	}
+}
+
 // silent is called when no answer came in time. If the backend has said nothing at all since the command was
 // sent, its machine may be gone, and the connections that idle since then with it: they would stay open and
 // silent, so the next attempts must find out by new ones.
@@ -557,6 +573,9 @@
 	var b []byte
 	attempt := c.attempt != nil
 	switch {
+	case attempt && c.attempt.By > 0 && c.p.l.Now() >= c.attempt.By:
+		c.p.tooLate(c)
+		return
 	case attempt:
 		if b = c.attempt.Owner.Command(c.attempt.Until - c.p.l.Now()); b == nil {
 			return
