Cold servers: few doors round their budgets up and take their first turns at once

Cause: with three doors each drew its first turn from a whole span (Book.Full), which for them is one window of 3 s, though a backend of which nothing is known may have three sends in it; and one answer's budget grew by chance only.

Now as many doors as a window's first sends, or twice that, draw their turns from what the span has beyond a window, and up to four doors round a budget up, which is within what is put down to chance.

--- a/cold/cold.go
+++ b/cold/cold.go
@@ -28,6 +28,7 @@
 const (
 	margin     = 0.5 // part of a budget by what warm ones carry that is used: servers differ, and demand lies unevenly
 	answeredBy = 0.8 // ... and of one by what it has answered: work differs from mean work
+	fewDoors   = 4.0 // that may each round a budget up: together they stay within what a backend bears by chance
 	firstSends = 3.0 // that all doors together make in a window to a backend of which nothing is known: within any backend's slack
 )
 
@@ -84,7 +85,7 @@
 
 // Full says that the backend has had its budget. rate is what a warm backend is seen to carry from this door, a second, with this one's weight and this
 // door's share in it. chance draws from 0 to 1. A budget holds a part of a send for some of the doors and not for others, by chance: rounded up at each, thirty
-// budgets of 1.4 would be sixty sends.
+// budgets of 1.4 would be sixty sends. A few doors round up.
 func (b *Book) Full(now time.Duration, t Terms, rate float64, w Warmth, chance func() float64) bool {
 	span := t.Window
 	budget := margin * t.Multiple * w.Then * rate * span.Seconds()
@@ -98,9 +99,13 @@
 		}
 		budget = 1
 		if b.turn == 0 {
-			b.turn = now + time.Duration(chance()*float64(span))
+			wait := span
+			if t.Doors <= 2*firstSends { // so few may come in one window
+				wait = max(0, span-t.Window)
+			}
+			b.turn = now + time.Duration(chance()*float64(wait))
 		}
-	} else {
+	} else if t.Doors > fewDoors {
 		if b.part == 0 {
 			b.part = 1 - chance()
 		}
@@ -108,7 +113,8 @@
 	}
 	b.sent = since(b.sent, now-max(span, t.Window))
 	had := work(b.sent, now-span)
-	return now < b.turn || had >= budget || had+part > budget+1e-9
+	const exact = 1e-9
+	return now < b.turn || had > budget-exact || had+part > budget+exact
 }
 
 // since drops what is as old as a time.
