--- /dev/null
+++ b/cmd/gapgap/signals_test.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"snowhall/internal/standin/catalog"
+	"snowhall/internal/standin/flagserver"
+	"snowhall/internal/standin/peer"
+)
+
+// SIGTERM with a request in flight, SIGHUP with new settings right behind it and SIGTERM once more: the request has its answer, by its own settings, what rests is
+// ended, and the process ends well.
+func TestSignalsAmidARequest(t *testing.T) {
+	n := newNode(t, 0, flagserver.Config{})
+	ln := peer.Listen(t)
+	n.agent.Set(catalog.Serving("s-0", ln.Addr().String()))
+	p := n.start()
+	p.ready()
+	c, idle := n.client(), n.client()
+	if got, err := idle.ask("PING"); err != nil || got != "+PONG\r\n" {
+		t.Fatal(got, err)
+	}
+	answer := make(chan string, 1)
+	go func() {
+		line, err := c.ask("Q.DO", peer.Customer, "1", strings.Replace(peer.Keyed, "d=20000", "d=3000", 1), "body")
+		answer <- fmt.Sprint(line, err)
+	}()
+	b := peer.Accept(t, ln)
+	b.Message()
+	n.edit(func(cfg map[string]any) {
+		classes := cfg["settings"].(map[string]any)["classes"].([]any)
+		classes[1].(map[string]any)["effect"], classes[1].(map[string]any)["name"] = "unsafe", "other"
+	})
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		if err := p.cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.says("configuration read again")
+	if _, err := idle.in.ReadByte(); err == nil {
+		t.Error("what rests is not ended")
+	}
+	b.Write("*1\r\n" + peer.Bulk("value"))
+	if got := <-answer; got != "$5\r\n<nil>" {
+		t.Errorf("answered %q", got)
+	}
+	select {
+	case err := <-p.ended:
+		if err != nil {
+			t.Errorf("it ended with %v", err)
+		}
+	case <-time.After(peer.Patient):
+		t.Error("it does not end")
+	}
+}
+
+// SIGKILL behind SIGTERM: another process serves at the same address at once.
+func TestKilledRightAfterSIGTERM(t *testing.T) {
+	n := newNode(t, 1, flagserver.Config{})
+	for range 5 {
+		p := n.start()
+		p.ready()
+		c := n.client()
+		if got, err := c.ask("PING"); err != nil || got != "+PONG\r\n" {
+			t.Fatal(got, err)
+		}
+		p.cmd.Process.Signal(syscall.SIGTERM)
+		p.kill()
+		if _, err := c.in.ReadByte(); err == nil {
+			t.Error("the connection goes on")
+		}
+	}
+}
+
+// client is dial that must work.
+func (n *node) client() *client {
+	n.t.Helper()
+	c, err := n.dial()
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.t.Cleanup(func() { c.nc.Close() })
+	return c
+}
