--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -2,7 +2,9 @@
 package layout
 
 import (
+	"os"
 	"os/exec"
+	"regexp"
 	"strings"
 	"testing"
 )
@@ -96,3 +98,35 @@
 	none(t, "snowhall/internal/account", "net/http", "snowhall/internal/front", "snowhall/internal/core")
 	none(t, "snowhall/internal/front/authz", "snowhall/internal/counter", "snowhall/internal/membership/discovery", "snowhall/internal/service")
 }
+
+// Nothing that serves on the platform is fitted to one deployment: no class, plan, kind or site of those that the project has met is named in its code. What is
+// looked for are whole string literals, of the sites in deploy/sites too.
+func TestNoDeploymentIsNamed(t *testing.T) {
+	names := []string{"evaluate", "change", "starter", "business", "flag-api", "std-3c", "fetch-cards", "record-answer", "basic", "standard", "campus", "deck-servers",
+		"quote", "charge", "note", "stall", "chain", "tills", "look", "weave", "sell", "guest", "member", "guild", "crown", "looms"}
+	literal := regexp.MustCompile(`"(` + strings.Join(names, "|") + `)"`)
+	site := regexp.MustCompile(`(?i)cluj|yarmouk|amman|shared-fleet`)
+	out, err := exec.Command("go", "list", "-deps", "-f", `{{if not .Standard}}{{$d := .Dir}}{{if eq .Module.Path "snowhall"}}{{range .GoFiles}}{{$d}}/{{.}}{{"\n"}}{{end}}{{end}}{{end}}`,
+		"snowhall/cmd/gapgap", "snowhall/cmd/drill").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	files := strings.Fields(string(out))
+	if len(files) < 40 {
+		t.Fatalf("%d files are looked at", len(files))
+	}
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for n, line := range strings.Split(string(text), "\n") {
+			if m := literal.FindString(line); m != "" {
+				t.Errorf("%s:%d names %s", f, n+1, m)
+			}
+			if m := site.FindString(line); m != "" {
+				t.Errorf("%s:%d names %s", f, n+1, m)
+			}
+		}
+	}
+}
