Watches: a call may wait in discovery's queue; those to a slow agent come apart

There lists are asked for, discovery lets a call wait for up to 2 s, and answerWithin gave it 1 s: its turn was spent for nothing.

TestManyFrontDoorsAskSeldom holds the new sums, the queue's wait left out: silent 4.6 s, turned away 4.6 s, swallowed 3.8 s. TestWithinSixSeconds passes, 3.3 s at worst.

--- a/internal/membership/discovery/discovery.go
+++ b/internal/membership/discovery/discovery.go
@@ -21,13 +21,15 @@
 // Times of a watch. Whatever goes wrong with one call, the next has the list within 6 s of discovery having it and being reachable, which is when a
 // change counts as told. The longest that can add up after a watch has fallen silent is
 //
-//	signWithin + the pause + answerWithin + listWithin = 3 s + 0.45 s + 1 s + 1.3 s = 5.75 s
+//	signWithin + the pause + listWithin = 3 s + 0.3 s + 1.3 s = 4.6 s
 //
-// (pushed lists: a pause of 30 ms, 5.33 s in all), and after a call that was turned away, turnedAwayMost*1.5 + answerWithin + listWithin = 5.6 s. A call
-// that was given up, refused or reset is followed by another within endedMost*1.5. TestWithinSixSeconds plays each of these.
+// and what a call waits in discovery's queue, where lists are asked for: up to 2 s, which count for nobody. After a call that was turned away it is
+// turnedAwayMost*1.5 + listWithin = 4.6 s, after one that was swallowed answerWithin + the pause + listWithin = 3.8 s, and where lists are pushed
+// apart.most + listWithin = 3.3 s. TestWithinSixSeconds plays each of these.
 const (
 	signWithin   = 3 * time.Second         // a watch gives a sign every 2 s; one silent for so long is dead
-	answerWithin = time.Second             // from asking for a watch until its answer begins
+	answerWithin = 2200 * time.Millisecond // from asking for a watch until its answer begins: discovery may let a call wait for 2 s
+	dialWithin   = time.Second             // of that, to connect
 	listWithin   = 1300 * time.Millisecond // from the first byte of a list to its last ...
 	listMost     = 4 * time.Second         // ... and up to this while none has come whole in time: the agent may be slow
 	mostList     = 1 << 20                 // bytes of a list
@@ -36,16 +38,48 @@
 	rewatchMost    = 500 * time.Millisecond
 	rewatchGrow    = 1.5
 	rewatchesAll   = 20.0                   // ... but behind the agents is one discovery, which should answer no more than so many a second
-	endedMost      = 300 * time.Millisecond // the longest mean pause after a watch that ended or never began
+	endedMost      = 200 * time.Millisecond // the longest mean pause after a watch that ended or never began
 	turnedAwayMost = 2200 * time.Millisecond
 
 	// Where lists are pushed a drain binds a quarter of a second after the agent has it, heard or not, and an agent that was silent with
 	// discovery gets all at once: while a call is not answered further ones are made beside it, so that the first after its return is soon.
+	// An agent that answered the last watch at once is asked again each pushedEvery. One that has answered none may have a queue in front of it: the calls to
+	// it come further and further apart and stay open for longer, as one that is given up has cost its turn all the same.
 	pushedPause = 30 * time.Millisecond
 	pushedEvery = 150 * time.Millisecond
-	pushedCalls = 6 // at once; the oldest gives way after pushedCalls*pushedEvery, under answerWithin
+	pushedGrow  = 1.3
+	pushedLeast = 600 * time.Millisecond  // apart at most, with few front doors ...
+	pushedEach  = 25 * time.Millisecond   // ... and by the number of them ...
+	pushedMost  = 2 * time.Second         // ... up to this
+	pushedCalls = 6                       // at once: the oldest gives way
+	pushedWaits = 2500 * time.Millisecond // ... as does one that has waited for so long
+	beginsTimes = 4                       // as what the last watch took to begin, calls are apart
 )
 
+// apart is how far apart calls are that are made beside each other.
+type apart struct {
+	most, now time.Duration
+	known     bool // a watch has begun
+}
+
+func newApart(doors int) apart {
+	return apart{most: min(pushedMost, max(pushedLeast, time.Duration(doors)*pushedEach)), now: pushedEvery}
+}
+
+// next is the time to the call after the one that is made.
+func (a *apart) next() time.Duration {
+	d := a.now
+	if !a.known {
+		a.now = min(a.most, time.Duration(pushedGrow*float64(a.now)))
+	}
+	return d
+}
+
+// took says that the last watch took so long to begin.
+func (a *apart) took(d time.Duration) {
+	a.known, a.now = true, min(a.most, max(pushedEvery, beginsTimes*d))
+}
+
 // Members is a list of backends, or changes of it, in discovery's form.
 type Members struct {
 	Index     int64
@@ -105,7 +139,7 @@
 	ended.First, ended.Most = min(ended.First, endedMost), min(ended.Most, endedMost)
 	dial := cfg.Dial
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: answerWithin}).DialContext
+		dial = (&net.Dialer{Timeout: dialWithin}).DialContext
 	}
 	return &Watch{l: l, log: log, cfg: cfg, sink: sink, http: &http.Client{Transport: &http.Transport{DialContext: dial}}, addr: cfg.Addr,
 		index: cfg.Known.Index, stop: func() {}, ended: ended, turned: turned, all: map[string]Endpoint{}}
@@ -148,9 +182,9 @@
 func (d *Watch) run(ctx context.Context, addr string, index int64, epoch int) {
 	ended, turned := backoff.Backoff{Terms: d.ended}, backoff.Backoff{Terms: d.turned}
 	rng := rand.New(rand.NewPCG(d.cfg.Seed, uint64(epoch)))
-	within := listWithin
+	within, apart := listWithin, newApart(d.cfg.Doors)
 	for ctx.Err() == nil {
-		told, err := d.watch(ctx, addr, &index, epoch, within)
+		told, err := d.watch(ctx, addr, &index, epoch, within, &apart)
 		switch {
 		case told: // it was a watch
 			ended.Reset()
@@ -175,8 +209,8 @@
 
 // watch follows one watch to its end and keeps the index it has come to. A list may take so long from its first byte to its last. told says that one
 // came whole.
-func (d *Watch) watch(ctx context.Context, addr string, index *int64, epoch int, within time.Duration) (told bool, err error) {
-	resp, cancel, err := d.begin(ctx, fmt.Sprintf("%s?stream=1&index=%d", membersURL(addr), *index))
+func (d *Watch) watch(ctx context.Context, addr string, index *int64, epoch int, within time.Duration, apart *apart) (told bool, err error) {
+	resp, cancel, err := d.begin(ctx, apart, fmt.Sprintf("%s?stream=1&index=%d", membersURL(addr), *index))
 	if err != nil {
 		return false, err
 	}
@@ -225,7 +259,7 @@
 
 // begin asks for a watch until one is there, and returns its answer with what ends it. Where lists are pushed, further calls are made beside one that
 // is not answered, up to pushedCalls, and the first that is answered counts: it returns without one only when it is turned away or the context ends.
-func (d *Watch) begin(ctx context.Context, url string) (*http.Response, context.CancelFunc, error) {
+func (d *Watch) begin(ctx context.Context, apart *apart, url string) (*http.Response, context.CancelFunc, error) {
 	type answer struct {
 		call int
 		resp *http.Response
@@ -233,34 +267,33 @@
 	}
 	answers, over := make(chan answer), make(chan struct{})
 	calls := map[int]context.CancelFunc{}
+	made := map[int]time.Time{}
 	defer func() {
 		close(over)
 		for _, cancel := range calls {
 			cancel()
 		}
 	}()
-	every, most := answerWithin, 1
-	if d.cfg.Pushed {
-		every, most = pushedEvery, pushedCalls
-	}
 	next := time.NewTimer(0)
 	defer next.Stop()
-	for made := 0; ; {
+	for last := -1; ; {
 		select {
 		case <-ctx.Done():
 			return nil, nil, ctx.Err()
 		case <-next.C:
-			if made >= most {
-				if !d.cfg.Pushed {
-					return nil, nil, context.DeadlineExceeded
-				}
-				if cancel := calls[made-most]; cancel != nil {
+			if !d.cfg.Pushed && last >= 0 {
+				return nil, nil, context.DeadlineExceeded
+			}
+			for call, cancel := range calls {
+				if call <= last-pushedCalls+1 || time.Since(made[call]) >= pushedWaits {
 					cancel()
+					delete(calls, call)
+					delete(made, call)
 				}
-				delete(calls, made-most)
 			}
-			call := made
-			made++
+			last++
+			call := last
+			made[call] = time.Now()
 			own, cancel := context.WithCancel(ctx)
 			calls[call] = cancel
 			go func() {
@@ -273,7 +306,11 @@
 					}
 				}
 			}()
-			next.Reset(every)
+			if d.cfg.Pushed {
+				next.Reset(apart.next())
+			} else {
+				next.Reset(answerWithin)
+			}
 		case a := <-answers:
 			cancel := calls[a.call]
 			delete(calls, a.call)
@@ -283,6 +320,7 @@
 					a.resp.Body.Close()
 				}
 			case a.err == nil:
+				apart.took(time.Since(made[a.call]))
 				return a.resp, cancel, nil
 			default:
 				cancel()
