Balancer: settle calls and units on the terms they went out under; end the loan recursion

Cause (lease terms). An answer or a unit that came back was settled by the plan that its customer has at that moment. Hypotheses before the edit: (a) a divisor is wrong for a valid plan, (b) terms are read that nobody agreed on. The traces of TestPlanChangesWhileLeaseCallIsOut and TestReloadEndsLeaseOfQueuedRequests tell them apart: Terms.WindowIndex gets the zero Terms of a plan without a lease, from handleCeilingLeaseResult (lines 113-121) and releaseCeiling/renewLeasedUnits. The new random plays show the same class without a panic: planSmallFleetShortfall divides by the rate of 0 of the plan that the customer moved to, and the pause ends 292 years ago.

Cause (loan). refillCeilingUntil and expireLoans call each other; handleImportHandover moves the share's time past a loan's end, and then neither moves on. A pile of loans is ruled out: the case has one.

Change. counterCall carries callTerms (plan and whether its ceiling was leased), and all settlement reads these. leasedCeiling holds a lease with its terms; calls and requests hold the one they belong to; other terms begin another. Units of a window that is over go out by the present lease, else by the share, else not. fillCeilingShare fills without ending loans, so there is no recursion.

TestLeaseTakesWholeUnitsWithLeasedCeiling builds a call by hand and gives it its terms; its checks are unchanged.

--- a/internal/balancer/bucketcarry.go
+++ b/internal/balancer/bucketcarry.go
@@ -20,33 +20,35 @@
 // gateway that calls in a window asks for the total of the window before and adds what the bucket lacked; the others
 // give it the time for that.
 func (b *Balancer) learnBucket(cust *customer) {
-	if b.leaseTerms[cust.plan].Rate == 0 || !b.canCallCounter() {
+	terms := b.callTermsOf(cust.plan)
+	if !terms.ceilingLeased || !b.canCallCounter() {
 		return
 	}
 	if !cust.bucket.known && !cust.bucket.levelCallPending {
 		cust.bucket.levelCallPending = true
-		b.callBucketLevel(cust)
+		b.callBucketLevel(cust, terms)
 	}
 	if window := counterWindowAt(b.now); cust.bucket.carriedWindow != window {
 		cust.bucket.setCarried(window, math.MaxInt64)
-		b.callFirstInWindow(cust, window)
+		b.callFirstInWindow(cust, terms, window)
 	}
 }
 
 // callBucketLevel asks for the level of a customer's bucket.
-func (b *Balancer) callBucketLevel(cust *customer) {
+func (b *Balancer) callBucketLevel(cust *customer, terms callTerms) {
 	window := counterWindowAt(b.now)
-	b.sendCall(cust, bucketLevelCall, window, counterName(cust.name, window), 0)
+	b.sendCall(cust, terms, bucketLevelCall, window, counterName(cust.name, window), 0)
 }
 
 // callFirstInWindow asks whether this gateway is the first that carries a customer's bucket into a window.
-func (b *Balancer) callFirstInWindow(cust *customer, window int64) {
-	b.sendCall(cust, windowFirstCall, window, counterName(cust.name+" first", window), 1)
+func (b *Balancer) callFirstInWindow(cust *customer, terms callTerms, window int64) {
+	b.sendCall(cust, terms, windowFirstCall, window, counterName(cust.name+" first", window), 1)
 }
 
-// callPreviousWindow asks for the total of the window before one.
-func (b *Balancer) callPreviousWindow(cust *customer, window int64) {
-	b.sendCall(cust, previousWindowCall, window, counterName(cust.name, window-1), 0)
+// callPreviousWindow asks for the total of the window before that of the call by which this gateway is the first.
+func (b *Balancer) callPreviousWindow(first *counterCall) {
+	cust, window := first.customer, first.window
+	b.sendCall(cust, first.terms, previousWindowCall, window, counterName(cust.name, window-1), 0)
 }
 
 // handleBucketCall takes the end of a call that is about a customer's bucket and leases no tokens.
@@ -69,7 +71,7 @@
 	case call.kind == windowFirstCall && ev.Total > 1:
 		bucket.setCarried(call.window, b.now+carryDelay)
 	case call.kind == windowFirstCall:
-		b.callPreviousWindow(call.customer, call.window)
+		b.callPreviousWindow(call)
 	default:
 		b.carryBucket(call, ev.Total)
 	}
@@ -78,8 +80,7 @@
 // carryBucket adds to a window's total what the bucket lacked at the end of the window before, whose total is given.
 // A total of 0 means that nobody called in that window, or that the counter has lost it.
 func (b *Balancer) carryBucket(call *counterCall, previousTotal float64) {
-	cust := call.customer
-	plan := &b.settings.Plans[cust.plan]
+	cust, plan := call.customer, call.terms.plan
 	maxLack := plan.Burst + plan.Rate*maxCarriedTime.Seconds()
 	lack := min(maxLack, previousTotal-plan.Rate*counterWindow.Seconds())
 	filled := plan.Rate * (call.sentAt - windowStart(call.window)).Seconds()
@@ -87,7 +88,7 @@
 		lack -= filled // corrected as a surplus already
 	}
 	if lack > 0 {
-		b.callCounter(cust, 0, lack)
+		b.callCounter(cust, call.terms, 0, lack)
 	}
 	delay := carryDelay
 	if previousTotal == 0 {
--- a/internal/balancer/bucketcorrection.go
+++ b/internal/balancer/bucketcorrection.go
@@ -59,9 +59,8 @@
 // leased ceiling relies on the bucket, it is corrected at once.
 func (b *Balancer) correctBucket(found *surplus) float64 {
 	call, cust := found.call, found.call.customer
-	plan := &b.settings.Plans[cust.plan]
-	if b.leaseTerms[cust.plan].Rate <= 0 {
-		b.callCounter(cust, 0, found.level-found.expected)
+	if !call.terms.ceilingLeased {
+		b.callCounter(cust, call.terms, 0, found.level-found.expected)
 		return found.expected
 	}
 	leastLevel := b.leastSurplusLevel(found)
@@ -69,7 +68,7 @@
 	case correctToExpected:
 		b.addSurplus(call, found.level-found.expected, found.total)
 	case correctToBurst:
-		b.addSurplus(call, found.level-plan.Burst, found.total)
+		b.addSurplus(call, found.level-call.terms.plan.Burst, found.total)
 		b.learnBucket(cust) // what the bucket lacked before the window is carried
 	case correctUnderLock:
 		b.callCorrectionLock(call, found.level-leastLevel, found.total)
@@ -86,9 +85,9 @@
 // the surplus within one round trip, and only one may correct it.
 func (b *Balancer) planCorrection(found *surplus) correctionPlan {
 	call, cust := found.call, found.call.customer
-	burst := b.settings.Plans[cust.plan].Burst
+	burst := call.terms.plan.Burst
 	firstInWindow := cust.bucket.seenWindow != call.window
-	calm := b.isCalm(cust)
+	calm := cust.isCalm(call.terms.plan)
 	seenLately := cust.bucket.known && b.now-cust.bucket.levelAt < bucketTrustTime && call.kind != bucketLevelCall
 	onlyUser := b.isOnlyUser(call, found.total)
 	switch {
@@ -111,15 +110,15 @@
 	}
 }
 
-// isCalm reports whether the demand for a customer, taken as alike at all of its gateways, is below its plan's rate.
-func (b *Balancer) isCalm(cust *customer) bool {
-	return cust.demand.rate*cust.gateways < b.settings.Plans[cust.plan].Rate
+// isCalm reports whether the demand for a customer, taken as alike at all of its gateways, is below a plan's rate.
+func (cust *customer) isCalm(plan *Plan) bool {
+	return cust.demand.rate*cust.gateways < plan.Rate
 }
 
 // leastSurplusLevel is the least level, in units, that a bucket may have until its surplus is corrected.
 func (b *Balancer) leastSurplusLevel(found *surplus) float64 {
 	cust := found.call.customer
-	if cust.bucket.known && !b.isCalm(cust) {
+	if cust.bucket.known && !cust.isCalm(found.call.terms.plan) {
 		return min(found.expected, b.minimumLevel(found.call, found.total))
 	}
 	return found.expected
@@ -137,8 +136,7 @@
 // minimumLevel is the least level of a bucket whose total is still to be corrected, by the last level known here: what
 // peers have taken since may have left it just now, when the bucket had long been full.
 func (b *Balancer) minimumLevel(call *counterCall, total float64) float64 {
-	cust := call.customer
-	plan := &b.settings.Plans[cust.plan]
+	cust, plan := call.customer, call.terms.plan
 	if cust.bucket.seenWindow == call.window {
 		total -= cust.bucket.seenTotal
 	}
@@ -147,8 +145,8 @@
 
 // addSurplus adds a surplus to the total of a call's window, which came to total without it.
 func (b *Balancer) addSurplus(call *counterCall, amount, total float64) {
-	cust := call.customer
-	correctionCall := b.sendCall(cust, surplusCall, call.window, counterName(cust.name, call.window), amount)
+	name := counterName(call.customer.name, call.window)
+	correctionCall := b.sendCall(call.customer, call.terms, surplusCall, call.window, name, amount)
 	correctionCall.correction = bucketCorrection{surplus: amount, totalBefore: total}
 }
 
@@ -156,7 +154,7 @@
 // surplus at the same moment must not all add it: the bucket would be empty for as long again.
 func (b *Balancer) callCorrectionLock(found *counterCall, amount, total float64) {
 	name := correctionLockName(found.customer, int64(b.now/correctionLockInterval))
-	call := b.sendCall(found.customer, correctionLockCall, found.window, name, 1)
+	call := b.sendCall(found.customer, found.terms, correctionLockCall, found.window, name, 1)
 	call.correction = bucketCorrection{surplus: amount, totalBefore: total}
 }
 
@@ -164,7 +162,7 @@
 // bucket on both sides of an interval's end would each be the first in theirs.
 func (b *Balancer) callPreviousCorrectionLock(lock *counterCall) {
 	name := correctionLockName(lock.customer, int64(lock.sentAt/correctionLockInterval)-1)
-	call := b.sendCall(lock.customer, previousLockCall, lock.window, name, 0)
+	call := b.sendCall(lock.customer, lock.terms, previousLockCall, lock.window, name, 0)
 	call.correction = lock.correction
 }
 
@@ -185,11 +183,10 @@
 // handleCorrectionLock corrects a bucket when this gateway is the first that asked for the lock in its interval and,
 // at an interval's start, none was given that of the interval before.
 func (b *Balancer) handleCorrectionLock(call *counterCall, ev CounterResult) {
-	cust := call.customer
 	if ev.Status != OK || ev.Total > maxFreeLockTotal(call.kind) || call.window != counterWindowAt(b.now) {
 		return
 	}
-	leased := b.leaseTerms[cust.plan].Rate > 0
+	leased := call.terms.ceilingLeased
 	atStart := call.sentAt%correctionLockInterval < correctionLockOverlap*b.settings.CounterTimeout
 	switch {
 	case leased && call.kind == correctionLockCall && atStart:
@@ -197,7 +194,7 @@
 	case leased:
 		b.addSurplus(call, call.correction.surplus, call.correction.totalBefore)
 	default:
-		b.callCounter(cust, 0, call.correction.surplus)
+		b.callCounter(call.customer, call.terms, 0, call.correction.surplus)
 	}
 }
 
@@ -208,6 +205,6 @@
 	}
 	surplus := call.correction.surplus
 	if ev.Total-call.correction.totalBefore-surplus > doubleCorrectionFraction*surplus {
-		b.callCounter(call.customer, 0, -surplus)
+		b.callCounter(call.customer, call.terms, 0, -surplus)
 	}
 }
--- a/internal/balancer/ceiling.go
+++ b/internal/balancer/ceiling.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"gapgap/internal/balancer/ceilinglease"
 	"gapgap/internal/balancer/quotashare"
 )
 
@@ -48,8 +47,8 @@
 	nextLoanRequestAt time.Duration
 	// lastTurn is the last turn that was used, where shares are sparse (ceilinglease.Turns).
 	lastTurn int64
-	// lease is what this gateway has leased of the ceiling beyond the quota.
-	lease ceilinglease.Lease
+	// lease is what this gateway has leased of the ceiling beyond the quota on the last terms; nil: nothing yet.
+	lease *leasedCeiling
 }
 
 // fillShare adds the units of the last seconds to this gateway's share, of which a part is kept for requests that ask
@@ -114,16 +113,23 @@
 		return math.Inf(1)
 	}
 	b.expireLoans(cust, plan, now)
+	b.fillCeilingShare(cust, plan, now)
+	return cust.ceiling.tokens
+}
+
+// fillCeilingShare fills this gateway's share of a customer's ceiling up to a time by what the share is at that time.
+// It ends no loan.
+func (b *Balancer) fillCeilingShare(cust *customer, plan *Plan, now time.Duration) {
 	share := b.ceilingShareAt(cust, plan, now)
 	if b.hasSparseShares(cust, plan) {
 		share = sparseCeilingShare(cust, plan)
 		if turns, ok := ceilingTurns(cust, plan); ok {
-			return b.refillByTurn(cust, turns, now)
+			b.refillByTurn(cust, turns, now)
+			return
 		}
 	}
 	seconds := b.refillSeconds(cust.ceiling.filledAt, now)
 	cust.ceiling.fillShare(now, share, seconds, cust.demand.admitOnlyFraction())
-	return cust.ceiling.tokens
 }
 
 // ceilingCapacity is how many units of this gateway's share of the ceiling a request can have now. Requests that ask
@@ -144,8 +150,8 @@
 	if plan.CeilingRate == 0 {
 		return 0
 	}
-	if terms := b.ceilingLeaseTerms(req); terms != nil {
-		return b.ceilingLeaseWait(req, plan, terms)
+	if leased := b.leasableCeiling(req); leased != nil {
+		return b.ceilingLeaseWait(req, plan, leased)
 	}
 	if b.hasSparseShares(req.customer, plan) && b.counterMayCover(req) {
 		return 0
@@ -174,8 +180,7 @@
 }
 
 // drawCeiling takes the units of a request's first attempt out of the ceiling, and reports whether they were still
-// there. Leased units are taken from this gateway's share too, which may go so far below 0 that all gateways' shares
-// together are as empty as the ceiling's bucket can be.
+// there. Units that the quota's bucket or a lease has given are taken from this gateway's share too (drawBeyondShare).
 func (b *Balancer) drawCeiling(req *request, plan *Plan) bool {
 	cust := req.customer
 	if plan.CeilingRate == 0 {
@@ -185,18 +190,31 @@
 	switch {
 	case req.ceiling.source == fromQuota && b.hasSparseShares(cust, plan):
 		return true
-	case req.ceiling.source == fromEvenShare && req.ceiling.turn > 0:
-		return cust.ceiling.drawTurn(req.ceiling.turn)
 	case req.ceiling.source == fromEvenShare:
-		return cust.ceiling.drawShare(req)
-	case req.ceiling.source == fromLease && !b.renewLeasedUnits(req):
-		return false
+		return b.drawEvenShare(req, plan)
+	case req.ceiling.source == fromLease:
+		return b.drawLeasedUnits(req, plan)
 	}
-	lowest := b.ceilingShare(cust, plan).Depth - plan.CeilingBurst
-	cust.ceiling.drawBeyondShare(req.units, lowest)
+	b.drawBeyondShare(req, plan)
 	return true
 }
 
+// drawEvenShare takes a request's units out of this gateway's share, or uses the turn that the request was placed for.
+// It reports whether they were there.
+func (b *Balancer) drawEvenShare(req *request, plan *Plan) bool {
+	if req.ceiling.turn > 0 {
+		return req.customer.ceiling.drawTurn(req.ceiling.turn)
+	}
+	return req.customer.ceiling.drawShare(req)
+}
+
+// drawBeyondShare takes units that the share has not given out of it too, down to where all gateways' shares together
+// are as empty as the ceiling's bucket can be.
+func (b *Balancer) drawBeyondShare(req *request, plan *Plan) {
+	lowest := b.ceilingShare(req.customer, plan).Depth - plan.CeilingBurst
+	req.customer.ceiling.drawBeyondShare(req.units, lowest)
+}
+
 // reserveCeiling reserves units of the ceiling for a request, and a place among the requests in flight where its plan
 // limits these. releaseCeiling returns the units.
 func (b *Balancer) reserveCeiling(req *request, source ceilingSource) {
@@ -207,6 +225,7 @@
 	}
 	req.ceiling.reserved = true
 	req.ceiling.source = source
+	req.ceiling.lease = nil
 	req.ceiling.leaseWindow = 0
 	req.ceiling.turn = 0
 	switch source {
@@ -219,7 +238,7 @@
 			req.ceiling.turn, _ = turns.At(b.now, b.settings.Index)
 		}
 	case fromLease:
-		req.ceiling.leaseWindow = cust.ceiling.lease.Spend(b.leaseTerms[req.plan], b.now, req.units, req.leaseUse())
+		b.presentLease(req).spend(b.now, req)
 	}
 }
 
@@ -234,7 +253,7 @@
 	case req.ceiling.source == fromEvenShare:
 		ceiling.reserved -= req.units
 	case req.ceiling.source == fromLease && !dispatched:
-		ceiling.lease.Return(b.leaseTerms[req.plan], b.now, req.ceiling.leaseWindow, req.units, req.leaseUse())
+		req.ceiling.lease.takeBack(b.now, req)
 	}
 }
 
--- a/internal/balancer/ceilinglease_test.go
+++ b/internal/balancer/ceilinglease_test.go
@@ -7,8 +7,7 @@
 )
 
 // A customer may move to another plan while a call for a lease of its ceiling is out: the answer must be taken,
-// whatever the new plan has. KNOWN-RED.txt lists it: the answer is read on the terms of the new plan, whose ceiling is
-// not leased.
+// whatever the new plan has.
 func TestPlanChangesWhileLeaseCallIsOut(t *testing.T) {
 	settings := testSettings()
 	settings.LeaseCeilings = true
@@ -39,7 +38,6 @@
 }
 
 // A reload may end the lease of a plan's ceiling while queued requests hold units of it: they must still end.
-// KNOWN-RED.txt lists it: the units are returned on the terms of the new plan, which has no lease.
 func TestReloadEndsLeaseOfQueuedRequests(t *testing.T) {
 	settings := testSettings()
 	settings.LeaseCeilings = true
--- a/internal/balancer/countercall.go
+++ b/internal/balancer/countercall.go
@@ -79,6 +79,10 @@
 	kind callKind
 	// customer is nil for a counterProbeCall.
 	customer *customer
+	// terms are those under which the call was sent and is settled; zero for a counterProbeCall and a ceilingLeaseCall.
+	terms callTerms
+	// lease is what a ceilingLeaseCall asks for.
+	lease *leasedCeiling
 	// block is the number of units asked for.
 	block float64
 	// amount is the number of units that a tokenLeaseCall adds in all, and debt the part of them that was spent
@@ -96,6 +100,20 @@
 	overShare bool
 }
 
+// callTerms are what a customer's plan had when a call was sent. The answer is settled on them: the customer may have
+// another plan by then, or its plan other values.
+type callTerms struct {
+	// plan is that plan. A reload replaces plans and does not change them.
+	plan *Plan
+	// ceilingLeased is true where its ceiling was leased from the counter.
+	ceilingLeased bool
+}
+
+// callTermsOf returns the present terms of the plan of an index.
+func (b *Balancer) callTermsOf(plan int) callTerms {
+	return callTerms{plan: &b.settings.Plans[plan], ceilingLeased: b.leaseTerms[plan].Rate > 0}
+}
+
 // counterCalls are this gateway's calls to the counter. The counter's state shows in its answers alone: each in time
 // lets a larger part of the requests call, each late or failed one a smaller.
 type counterCalls struct {
@@ -196,12 +214,13 @@
 }
 
 // callCounter adds an amount to a customer's total of this window and asks for a block of tokens, or for none.
-func (b *Balancer) callCounter(cust *customer, block, amount float64) *counterCall {
+func (b *Balancer) callCounter(cust *customer, terms callTerms, block, amount float64) *counterCall {
 	window := counterWindowAt(b.now)
 	name := counterName(cust.name, window)
 	call := &counterCall{
 		kind:     tokenLeaseCall,
 		customer: cust,
+		terms:    terms,
 		block:    block,
 		amount:   amount,
 		window:   window,
@@ -216,9 +235,9 @@
 
 // sendCall adds an amount under a name on the counter, for another purpose than tokens. The customer may be nil.
 func (b *Balancer) sendCall(
-	cust *customer, kind callKind, window int64, name uint64, amount float64,
+	cust *customer, terms callTerms, kind callKind, window int64, name uint64, amount float64,
 ) *counterCall {
-	call := &counterCall{kind: kind, customer: cust, window: window, sentAt: b.now}
+	call := &counterCall{kind: kind, customer: cust, terms: terms, window: window, sentAt: b.now}
 	b.counter.add(name, call)
 	b.emit(CounterAdd{name, amount, counterTTL, 0})
 	return call
@@ -226,7 +245,7 @@
 
 // probeCounter calls the counter for no customer, to learn whether it answers.
 func (b *Balancer) probeCounter() {
-	b.sendCall(nil, counterProbeCall, 0, counterName("test", int64(b.settings.Index)), 0)
+	b.sendCall(nil, callTerms{}, counterProbeCall, 0, counterName("test", int64(b.settings.Index)), 0)
 }
 
 // counterName is the counter's name for the total of a key in a window, within 63 bits.
--- a/internal/balancer/customer.go
+++ b/internal/balancer/customer.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"time"
-
-	"gapgap/internal/balancer/ceilinglease"
 )
 
 // Limits of the table of customers.
@@ -103,7 +101,7 @@
 		b.customers.add(cust)
 	}
 	if cust.plan != ev.Plan {
-		cust.ceiling.lease = ceilinglease.Lease{} // its windows are those of the former plan
+		cust.ceiling.lease = nil // it is of the former plan's ceiling
 	}
 	cust.plan = ev.Plan
 	cust.gateways = gateways
--- a/internal/balancer/largefleet.go
+++ b/internal/balancer/largefleet.go
@@ -131,11 +131,10 @@
 // all have just started: the one whose call began the total corrects it, or, should that fail, one of those that ask
 // for the correction lock.
 func (b *Balancer) correctSurplus(call *counterCall, amount float64, isFirstCall bool) {
-	cust := call.customer
-	plan := &b.settings.Plans[cust.plan]
+	cust, plan := call.customer, call.terms.plan
 	switch {
 	case isFirstCall || amount <= plan.Burst:
-		b.callCounter(cust, 0, amount)
+		b.callCounter(cust, call.terms, 0, amount)
 	case b.hasSparseShares(cust, plan) || b.rng.Float64() < correctionProbability:
 		b.callCorrectionLock(call, amount, 0)
 	}
@@ -170,7 +169,7 @@
 // take too long is returned, and the customer's gateways, each pausing for a time of its own, ask a few times as often
 // as there is a unit.
 func (b *Balancer) planLargeFleetShortfall(call *counterCall, available, granted float64) shortfallPlan {
-	cust, plan := call.customer, &b.settings.Plans[call.customer.plan]
+	cust, plan := call.customer, call.terms.plan
 	missing := call.block - available
 	fillTime := time.Duration(missing / plan.Rate * float64(time.Second))
 	if fillTime <= b.reservationHorizon(cust, plan) && call.kind == tokenLeaseCall && granted < call.block {
--- a/internal/balancer/loan.go
+++ b/internal/balancer/loan.go
@@ -117,14 +117,15 @@
 	b.serveWaiting(cust)
 }
 
-// expireLoans ends the loans of a customer that are over at a time. Each fills the share until its end and not longer.
+// expireLoans ends the loans of a customer that are over at a time. Each fills the share until its end and not longer;
+// one that ended while the share was not filled, as in a hand-over, fills nothing more.
 func (b *Balancer) expireLoans(cust *customer, plan *Plan, now time.Duration) {
 	loans := &cust.ceiling.loans
 	if !loans.HasAny() {
 		return
 	}
 	for at := loans.FirstExpiry(now); at > 0; at = loans.FirstExpiry(now) {
-		b.refillCeilingUntil(cust, plan, max(cust.ceiling.filledAt, at-1))
+		b.fillCeilingShare(cust, plan, max(cust.ceiling.filledAt, at-1))
 		loans.DropExpired(at)
 	}
 	loans.DropExpired(now)
--- a/internal/balancer/loanhandover_test.go
+++ b/internal/balancer/loanhandover_test.go
@@ -13,7 +13,7 @@
 const childVariable = "GAPGAP_TEST_LOAN_ENDS_DURING_HANDOVER"
 
 // A gateway hands its state over, a loan that it borrowed ends meanwhile, and it takes the state back: its next request
-// must be decided. KNOWN-RED.txt lists it: expireLoans and refillCeilingUntil call each other without end.
+// must be decided.
 func TestLoanEndsDuringAbortedHandover(t *testing.T) {
 	if os.Getenv(childVariable) != "" {
 		playLoanEndsDuringHandover(t)
--- a/internal/balancer/quota.go
+++ b/internal/balancer/quota.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"gapgap/internal/balancer/ceilinglease"
 )
 
 // minPriority is the least priority of a request by which its band is found.
@@ -34,8 +32,8 @@
 type quotaCheck struct {
 	request *request
 	plan    *Plan
-	// leaseTerms are the terms on which the ceiling is leased from the counter; nil: it is not.
-	leaseTerms *ceilinglease.Terms
+	// lease is the lease by which the ceiling goes; nil: it is not leased from the counter.
+	lease *leasedCeiling
 	// missing is the number of units that this gateway's share of the ceiling lacks for the request; 0 or less: none.
 	missing float64
 	// nearlyLate is true when the request has no time left to wait.
@@ -55,7 +53,7 @@
 	check := quotaCheck{
 		request:      req,
 		plan:         plan,
-		leaseTerms:   b.ceilingLeaseTerms(req),
+		lease:        b.leasableCeiling(req),
 		nearlyLate:   b.isStale(req, nil),
 		inFlightFull: b.isInFlightFull(req, plan),
 		missing:      req.units - b.ceilingCapacity(req, plan),
@@ -63,7 +61,7 @@
 	switch {
 	case b.hasSparseShares(req.customer, plan):
 		return b.checkSparseQuota(&check)
-	case check.inFlightFull || check.isCeilingShort() && check.leaseTerms == nil:
+	case check.inFlightFull || check.isCeilingShort() && check.lease == nil:
 		return b.awaitCeiling(&check)
 	}
 	req.level = b.priorityBand(req, plan)
@@ -105,7 +103,7 @@
 		return b.spendWithoutQuota(check)
 	}
 	decision := b.spendTokens(check)
-	leased := check.leaseTerms != nil
+	leased := check.lease != nil
 	switch {
 	case decision == quotaExceeded && leased && b.leaseCeiling(check) == quotaPending:
 		return fromEvenShare, quotaPending
@@ -125,7 +123,7 @@
 	if check.plan.MaxInFlight == 0 {
 		check.request.level += priorityBands
 	}
-	if check.leaseTerms == nil {
+	if check.lease == nil {
 		return fromEvenShare, quotaCovered
 	}
 	return fromLease, b.leaseCeiling(check)
@@ -148,8 +146,8 @@
 
 // overQuotaCapacity is how many units of the ceiling a request beyond the quota may use now, and where they are from.
 func (b *Balancer) overQuotaCapacity(req *request, plan *Plan) (ceilingSource, float64) {
-	if terms := b.ceilingLeaseTerms(req); terms != nil {
-		return fromLease, b.leasedCeilingCapacity(req, terms)
+	if leased := b.leasableCeiling(req); leased != nil {
+		return fromLease, leased.capacity(b.now, req)
 	}
 	return fromEvenShare, b.ceilingCapacity(req, plan)
 }
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -67,7 +67,8 @@
 	reserved bool
 	// source is where the units come from.
 	source ceilingSource
-	// leaseWindow is the window that the units were leased for, with fromLease.
+	// lease is what the units were leased on, and leaseWindow the window that they were leased for, with fromLease.
+	lease       *leasedCeiling
 	leaseWindow int64
 	// turn is the gateway's time slot that the request uses, with fromEvenShare where a share is less than a unit; 0:
 	// there are no turns.
--- a/internal/balancer/sharedbucket.go
+++ b/internal/balancer/sharedbucket.go
@@ -105,18 +105,18 @@
 
 // activeGateways is the number of gateways through which a customer's demand is taken to come: all that it names, or,
 // where its ceiling is leased, as many as the peers' demand suggests.
-func (b *Balancer) activeGateways(cust *customer) float64 {
-	if b.leaseTerms[cust.plan].Rate == 0 {
+func (cust *customer) activeGateways(terms callTerms) float64 {
+	if !terms.ceilingLeased {
 		return cust.gateways
 	}
 	peerDemand := cust.bucket.peerDemand
-	return min(cust.gateways, 1+peerDemand*cust.gateways/max(b.settings.Plans[cust.plan].Rate, peerDemand))
+	return min(cust.gateways, 1+peerDemand*cust.gateways/max(terms.plan.Rate, peerDemand))
 }
 
 // emptyPauseSpread is the factor on the time for which an empty bucket is left alone. Gateways that lease a ceiling
 // draw it at random, as else the same one would find each new unit first.
-func (b *Balancer) emptyPauseSpread(cust *customer) float64 {
-	if b.leaseTerms[cust.plan].Rate == 0 {
+func (b *Balancer) emptyPauseSpread(terms callTerms) float64 {
+	if !terms.ceilingLeased {
 		return 1
 	}
 	return minPauseSpread + 2*(1-minPauseSpread)*b.rng.Float64()
@@ -126,8 +126,7 @@
 // burst has overflowed, and one that grew faster than the rate tells that the counter has lost totals. Both are
 // corrected on the counter where that is worth a call, and by an answer that came in time only.
 func (b *Balancer) acceptedLevel(call *counterCall, total float64, at time.Duration) float64 {
-	cust := call.customer
-	plan := &b.settings.Plans[cust.plan]
+	cust, plan := call.customer, call.terms.plan
 	level := plan.Burst + plan.Rate*(at-windowStart(call.window)).Seconds() - total + call.amount
 	expected := plan.Burst
 	if cust.bucket.known {
@@ -143,7 +142,7 @@
 	switch {
 	case at < b.now:
 		return min(level, expected)
-	case cust.bucket.known && cust.bucket.seenWindow != call.window && b.leaseTerms[cust.plan].Rate == 0:
+	case cust.bucket.known && cust.bucket.seenWindow != call.window && !call.terms.ceilingLeased:
 		return b.carryLevel(call, level, expected, total)
 	case b.isLargeFleet():
 		return b.acceptedLevelLargeFleet(call, level, total)
@@ -157,10 +156,10 @@
 // carryLevel is the level of a bucket in a window whose total knows nothing of the window before. The gateway whose
 // call began the total adds to it what the bucket lacked.
 func (b *Balancer) carryLevel(call *counterCall, level, expected, total float64) float64 {
-	burst := b.settings.Plans[call.customer.plan].Burst
+	burst := call.terms.plan.Burst
 	isFirstCall := total <= call.amount+totalTolerance*math.Abs(call.amount)
 	if isFirstCall && level > expected+burst*minCarriedFraction {
-		b.callCounter(call.customer, 0, level-expected)
+		b.callCounter(call.customer, call.terms, 0, level-expected)
 	}
 	return min(level, expected)
 }
@@ -168,8 +167,7 @@
 // acceptedLevelLargeFleet is acceptedLevel in a large fleet. Units that peers have returned look like a gain, so only
 // a large surplus is corrected.
 func (b *Balancer) acceptedLevelLargeFleet(call *counterCall, level, total float64) float64 {
-	cust := call.customer
-	plan := &b.settings.Plans[cust.plan]
+	cust, plan := call.customer, call.terms.plan
 	limit := plan.Burst * (1 + b.surplusSlack(cust, plan))
 	if level > limit {
 		isFirstCall := total <= call.amount
@@ -182,10 +180,10 @@
 // what peers have taken since; infinite where that is not known.
 func (b *Balancer) levelAfterPeers(call *counterCall, total float64) float64 {
 	cust := call.customer
-	if b.leaseTerms[cust.plan].Rate == 0 || !cust.bucket.known || cust.bucket.seenWindow != call.window {
+	if !call.terms.ceilingLeased || !cust.bucket.known || cust.bucket.seenWindow != call.window {
 		return math.Inf(1)
 	}
-	plan := &b.settings.Plans[cust.plan]
+	plan := call.terms.plan
 	takenByPeers := max(0, total-call.amount-cust.bucket.seenTotal)
 	return max(-plan.Burst/2, b.unboundedLevel(cust, plan)-takenByPeers)
 }
--- a/internal/balancer/sparseshare.go
+++ b/internal/balancer/sparseshare.go
@@ -34,7 +34,6 @@
 func (b *Balancer) hasSparseShares(cust *customer, plan *Plan) bool {
 	return b.isLargeFleet() && plan.CeilingRate > plan.Rate && plan.Rate > 0 && plan.MaxInFlight == 0 &&
 		plan.CeilingBurst > sparseQuotaBursts*plan.Burst &&
-		b.leaseTerms[cust.plan].Rate == 0 &&
 		plan.CeilingBurst/cust.gateways < sparseShareUnits &&
 		plan.isSoft()
 }
@@ -55,9 +54,9 @@
 	return ceilinglease.TurnsOf(rate, depth, cust.gateways)
 }
 
-// refillByTurn sets and returns the units of a gateway's share that has turns. The turn in which the gateway started
+// refillByTurn sets the units of a gateway's share that has turns. The turn in which the gateway started
 // is left out, as a former process may have used it.
-func (b *Balancer) refillByTurn(cust *customer, turns ceilinglease.Turns, now time.Duration) float64 {
+func (b *Balancer) refillByTurn(cust *customer, turns ceilinglease.Turns, now time.Duration) {
 	turn, open := turns.At(now, b.settings.Index)
 	firstTurn, _ := turns.At(b.startedAt, b.settings.Index)
 	tokens := 0.0
@@ -65,7 +64,6 @@
 		tokens = 1
 	}
 	cust.ceiling.setTokens(now, tokens)
-	return tokens
 }
 
 // counterMayCover reports whether the quota's bucket may pay for a request: a token is here, is asked for, or can be.
--- a/internal/balancer/tokenlease.go
+++ b/internal/balancer/tokenlease.go
@@ -148,7 +148,7 @@
 		block = req.units
 		amount = req.units
 	}
-	b.callForTokens(cust, block, amount).overShare = short
+	b.callForTokens(req, block, amount).overShare = short
 }
 
 // leaseTokensLargeFleet is leaseTokens for a large fleet. A gateway has so few requests that each is counted, and a
@@ -162,7 +162,7 @@
 	if cust.quota.lastCallLost {
 		block = req.units
 	}
-	b.callForTokens(cust, block, block)
+	b.callForTokens(req, block, block)
 }
 
 // leaseSize is the number of units to lease: what the demand takes until the horizon, at most limit, in whole units,
@@ -171,10 +171,11 @@
 	return max(req.units, math.Floor(min(req.customer.demand.rate*horizon.Seconds(), limit)))
 }
 
-// callForTokens calls the counter for a block of tokens and adds an amount and the debt to its number.
-func (b *Balancer) callForTokens(cust *customer, block, amount float64) *counterCall {
-	debt := cust.quota.takeDebt()
-	call := b.callCounter(cust, block, amount+debt)
+// callForTokens calls the counter for a block of tokens on the terms of a request's plan, and adds an amount and the
+// debt to its number.
+func (b *Balancer) callForTokens(req *request, block, amount float64) *counterCall {
+	debt := req.customer.quota.takeDebt()
+	call := b.callCounter(req.customer, b.callTermsOf(req.plan), block, amount+debt)
 	call.debt = debt
 	return call
 }
@@ -182,8 +183,7 @@
 // creditLease turns the total of a call's answer, as it was at a time, into tokens, and takes over what it tells of
 // the bucket. What the bucket did not have is returned to the counter.
 func (b *Balancer) creditLease(call *counterCall, total float64, at time.Duration) {
-	cust := call.customer
-	plan := &b.settings.Plans[cust.plan]
+	cust, plan := call.customer, call.terms.plan
 	level := b.acceptedLevel(call, total, at)
 	available := level - call.debt
 	if b.hasSparseShares(cust, plan) {
@@ -233,7 +233,7 @@
 	if planned.returnWithNextCall {
 		cust.quota.addDebt(returned)
 	} else {
-		b.callCounter(cust, 0, returned)
+		b.callCounter(cust, call.terms, 0, returned)
 	}
 	call.amount = planned.amount
 	cust.bucket.pauseCallsUntil(planned.callsPausedUntil)
@@ -243,8 +243,7 @@
 // A total that the counter has lost makes the bucket known anew. An answer older than the last one recorded is left
 // out.
 func (b *Balancer) recordBucket(call *counterCall, level, total float64, at time.Duration) {
-	bucket := &call.customer.bucket
-	plan := &b.settings.Plans[call.customer.plan]
+	bucket, plan := &call.customer.bucket, call.terms.plan
 	if at < bucket.levelAt {
 		return
 	}
@@ -260,9 +259,8 @@
 	cust := call.customer
 	nextCallIsSoon := b.evidenceScarcity() == 0 &&
 		cust.demand.rate*tokenLeaseTTL.Seconds() >= minRenewRequests*call.block
-	rate := b.settings.Plans[cust.plan].Rate
-	needed := max(call.block-level, b.activeGateways(cust)/gatewaysPerRefill)
-	seconds := needed / rate * b.emptyPauseSpread(cust)
+	needed := max(call.block-level, cust.activeGateways(call.terms)/gatewaysPerRefill)
+	seconds := needed / call.terms.plan.Rate * b.emptyPauseSpread(call.terms)
 	pause := min(maxEmptyBucketPause, time.Duration(seconds*float64(time.Second)))
 	return shortfallPlan{
 		amount:             granted + call.debt,
@@ -275,7 +273,7 @@
 // ceiling is leased are not returned, so a part of a unit stays in the bucket: here it would mostly be lost.
 func (b *Balancer) acceptedTokens(call *counterCall, available float64) float64 {
 	granted := max(0, min(call.block, available))
-	if granted < call.block && b.leaseTerms[call.customer.plan].Rate > 0 {
+	if granted < call.block && call.terms.ceilingLeased {
 		tokens := call.customer.quota.tokens
 		granted = min(granted, max(0, math.Floor(granted+tokens)-tokens))
 	}
--- a/internal/balancer/tokenlease_test.go
+++ b/internal/balancer/tokenlease_test.go
@@ -101,7 +101,14 @@
 		cust.bucket.levelAt = now
 		cust.quota.tokens = 0
 		cust.quota.debt = 0
-		call := &counterCall{customer: cust, block: 3, amount: 3, window: counterWindowAt(b.now), sentAt: b.now}
+		call := &counterCall{
+			customer: cust,
+			terms:    b.callTermsOf(cust.plan),
+			block:    3,
+			amount:   3,
+			window:   counterWindowAt(b.now),
+			sentAt:   b.now,
+		}
 		b.actions = b.actions[:0]
 		b.creditLease(call, 10+5*(b.now%counterWindow).Seconds()-held+3, b.now)
 		returned := cust.quota.debt
