--- a/internal/balancer/termschange_test.go
+++ b/internal/balancer/termschange_test.go
@@ -338,3 +338,69 @@
 		})
 	}
 }
+
+// A reload may give a quota to a plan while a request of it is queued that paid nothing: its end refunds nothing.
+func TestReloadGivesQuotaWhileRequestIsQueued(t *testing.T) {
+	settings := testSettings()
+	settings.Plans[3].Rate, settings.Plans[3].Burst = 0, 0
+	b := newTestBalancer(t, settings) // without endpoints the request waits
+	b.Step(time.Second, []Event{testRequest(1, 0, 3)})
+	next := settings
+	next.Plans = slices.Clone(settings.Plans)
+	next.Plans[3].Rate, next.Plans[3].Burst = 100, 100
+	b.Step(time.Second, []Event{SettingsUpdate{Settings: next, EvidenceFrom: []int{0, 1, 2}}, RequestDone{ID: 1}})
+	if tokens := b.customers.find("c").quota.tokens; tokens != 0 {
+		t.Errorf("%v tokens that nobody leased", tokens)
+	}
+}
+
+// A reload may change the length of the turns in which gateways with sparse shares have a unit: the turn that was used
+// last is one of the former turns and must not hold the new ones back.
+func TestReloadChangesTurnsOfSparseShares(t *testing.T) {
+	settings := largeFleetSettings(300)
+	b := newTestBalancer(t, settings, testEndpoints(3)...)
+	b.Step(time.Hour, []Event{testRequest(1, 0, 1)})
+	cust := b.customers.find("c")
+	turns, ok := ceilingTurns(cust, &b.settings.Plans[1])
+	if !ok {
+		t.Fatal("the plan has no turns")
+	}
+	used, _ := turns.At(time.Hour, b.settings.Index)
+	cust.ceiling.drawTurn(used)
+	next := settings
+	next.Plans = slices.Clone(settings.Plans)
+	next.Plans[1].CeilingRate = 15
+	b.Step(time.Hour, []Event{SettingsUpdate{Settings: next, EvidenceFrom: []int{0, 1, 2}}})
+	plan := &b.settings.Plans[1]
+	longer, _ := ceilingTurns(cust, plan)
+	changedIn, _ := longer.At(time.Hour, b.settings.Index)
+	units := 0.0
+	for now := time.Hour; now < time.Hour+5*time.Minute; now += tickInterval {
+		b.Step(now, nil)
+		got := b.refillCeiling(cust, plan)
+		if turn, _ := longer.At(now, b.settings.Index); turn == changedIn && got > 0 {
+			t.Fatalf("a unit in the turn of the reload, in which one was used before")
+		}
+		units = max(units, got)
+	}
+	if units != 1 {
+		t.Errorf("%v units in five minutes of turns, want one at a time", units)
+	}
+}
+
+// A loan of a former plan's ceiling is no part of the ceiling of the plan that the customer moves to.
+func TestCustomerWithLoanMovesToOtherPlan(t *testing.T) {
+	settings := testSettings()
+	settings.LeasedShares = true
+	settings.Plans[2] = Plan{PriorityFactor: 1, OverQuotaWeight: 1, CeilingRate: 1, CeilingBurst: 1}
+	b := newTestBalancer(t, settings, testEndpoints(3)...)
+	now := time.Hour
+	b.Step(now, []Event{ShareUpdate{Fraction: 0.5, Until: now + time.Hour}, testRequest(1, 0, 1)})
+	b.Step(now, []Event{LoanGranted{From: 1, Customer: "c", Plan: 1, At: now, Rate: 10, Depth: 20}})
+	b.Step(now, []Event{testRequest(2, 0, 2)})
+	cust := b.customers.find("c")
+	share := b.ceilingShare(cust, &b.settings.Plans[2])
+	if share.Rate > 1 || share.Depth > 1 {
+		t.Errorf("the share is %+v of a ceiling of 1 unit a second and 1 unit", share)
+	}
+}
