Balancer: refunds, turns and borrowed loans keep to the terms they were given under

Change: quotaProgress.charged; ceilingState.turnUsedAt (a time; Turns.StartOf and lastTurn map it to the numbers that the handed-over state keeps); customerFor drops borrowed loans when the plan changes; a request that was placed before its share went by turns uses the present turn. Tried first and left: counting the present turn as used after each change of turns, which starves customers whose requests name different numbers of gateways.

--- a/internal/balancer/ceiling.go
+++ b/internal/balancer/ceiling.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"gapgap/internal/balancer/ceilinglease"
 	"gapgap/internal/balancer/quotashare"
 )
 
@@ -45,8 +46,9 @@
 	loans quotashare.Loans
 	// nextLoanRequestAt is the time before which no loan is asked for.
 	nextLoanRequestAt time.Duration
-	// lastTurn is the last turn that was used, where shares are sparse (ceilinglease.Turns).
-	lastTurn int64
+	// turnUsedAt is a time in the last turn that was used, where shares are sparse (ceilinglease.Turns). Turns are
+	// numbered anew when the ceiling or the number of gateways changes, times are not.
+	turnUsedAt time.Duration
 	// lease is what this gateway has leased of the ceiling beyond the quota on the last terms; nil: nothing yet.
 	lease *leasedCeiling
 }
@@ -92,12 +94,18 @@
 	ceiling.tokens = max(lowest, ceiling.tokens-units)
 }
 
-// drawTurn uses the turn for which a request was placed. It reports whether that was unused.
-func (ceiling *ceilingState) drawTurn(turn int64) bool {
-	if ceiling.lastTurn >= turn {
+// lastTurn is the number of a gateway's last used turn as some turns count it.
+func (ceiling *ceilingState) lastTurn(turns ceilinglease.Turns, gateway int) int64 {
+	turn, _ := turns.At(ceiling.turnUsedAt, gateway)
+	return max(0, turn)
+}
+
+// drawTurn uses a gateway's turn at a time, for which a request was placed. It reports whether that was unused.
+func (ceiling *ceilingState) drawTurn(turns ceilinglease.Turns, gateway int, at time.Duration) bool {
+	if turn, _ := turns.At(at, gateway); ceiling.lastTurn(turns, gateway) >= turn {
 		return false
 	}
-	ceiling.lastTurn = turn
+	ceiling.turnUsedAt = at
 	return true
 }
 
@@ -123,7 +131,7 @@
 	share := b.ceilingShareAt(cust, plan, now)
 	if b.hasSparseShares(cust, plan) {
 		share = sparseCeilingShare(cust, plan)
-		if turns, ok := ceilingTurns(cust, plan); ok {
+		if turns, ok := b.sparseTurns(cust, plan); ok {
 			b.refillByTurn(cust, turns, now)
 			return
 		}
@@ -199,13 +207,19 @@
 	return true
 }
 
-// drawEvenShare takes a request's units out of this gateway's share, or uses the turn that the request was placed for.
-// It reports whether they were there.
+// drawEvenShare takes a request's units out of this gateway's share, or uses the turn that the request was placed for;
+// one that was placed for none uses the present turn. It reports whether they were there.
 func (b *Balancer) drawEvenShare(req *request, plan *Plan) bool {
-	if req.ceiling.turn > 0 {
-		return req.customer.ceiling.drawTurn(req.ceiling.turn)
+	ceiling := &req.customer.ceiling
+	turns, hasTurns := b.sparseTurns(req.customer, plan)
+	switch {
+	case !hasTurns:
+		return ceiling.drawShare(req)
+	case req.ceiling.turnAt > 0:
+		return ceiling.drawTurn(turns, b.settings.Index, req.ceiling.turnAt)
 	}
-	return req.customer.ceiling.drawShare(req)
+	_, open := turns.At(b.now, b.settings.Index)
+	return open && ceiling.drawTurn(turns, b.settings.Index, b.now)
 }
 
 // drawBeyondShare takes units that the share has not given out of it too, down to where all gateways' shares together
@@ -227,15 +241,12 @@
 	req.ceiling.source = source
 	req.ceiling.lease = nil
 	req.ceiling.leaseWindow = 0
-	req.ceiling.turn = 0
+	req.ceiling.turnAt = 0
 	switch source {
 	case fromEvenShare:
 		cust.ceiling.reserved += req.units
-		if !b.hasSparseShares(cust, plan) {
-			return
-		}
-		if turns, ok := ceilingTurns(cust, plan); ok {
-			req.ceiling.turn, _ = turns.At(b.now, b.settings.Index)
+		if _, ok := b.sparseTurns(cust, plan); ok {
+			req.ceiling.turnAt = b.now
 		}
 	case fromLease:
 		b.presentLease(req).spend(b.now, req)
--- a/internal/balancer/ceilinglease/turns.go
+++ b/internal/balancer/ceilinglease/turns.go
@@ -37,12 +37,20 @@
 
 // At returns the number of a gateway's turn at a time, and whether its unit is there.
 func (turns Turns) At(now time.Duration, gateway int) (turn int64, open bool) {
-	offset := turns.interval / time.Duration(turns.gateways) *
-		time.Duration(int64(max(0, gateway))%turns.gateways)
-	since := now - offset
+	since := now - turns.offset(gateway)
 	turn = int64(since / turns.interval)
 	if since < 0 {
 		return turn - 1, false
 	}
 	return turn, since%turns.interval < turns.length
 }
+
+// StartOf is when a gateway's turn of a number begins.
+func (turns Turns) StartOf(turn int64, gateway int) time.Duration {
+	return turns.offset(gateway) + time.Duration(turn)*turns.interval
+}
+
+// offset is when a gateway's turn 0 begins.
+func (turns Turns) offset(gateway int) time.Duration {
+	return turns.interval / time.Duration(turns.gateways) * time.Duration(int64(max(0, gateway))%turns.gateways)
+}
--- a/internal/balancer/customer.go
+++ b/internal/balancer/customer.go
@@ -101,7 +101,9 @@
 		b.customers.add(cust)
 	}
 	if cust.plan != ev.Plan {
-		cust.ceiling.lease = nil // it is of the former plan's ceiling
+		// These are of the former plan's ceiling. What was lent of it stays out until it ends.
+		cust.ceiling.lease = nil
+		cust.ceiling.loans.DropBorrowed()
 	}
 	cust.plan = ev.Plan
 	cust.gateways = gateways
--- a/internal/balancer/handover.go
+++ b/internal/balancer/handover.go
@@ -33,7 +33,9 @@
 	for _, cust := range b.customersByUse() {
 		b.refillCeiling(cust, &b.settings.Plans[cust.plan])
 		if len(state.Customers) < maxHandoverCustomers {
-			state.Customers = append(state.Customers, exportCustomer(cust, inFlight[cust]))
+			exported := exportCustomer(cust, inFlight[cust])
+			exported.LastTurn = b.exportTurn(cust)
+			state.Customers = append(state.Customers, exported)
 		}
 		cust.giveUpTokens()
 	}
@@ -92,7 +94,6 @@
 		BucketKnown:      cust.bucket.known,
 		SeenWindow:       cust.bucket.seenWindow,
 		CarriedWindow:    cust.bucket.carriedWindow,
-		LastTurn:         cust.ceiling.lastTurn,
 		CarriedAt:        cust.bucket.carriedAt,
 		EmptyUntil:       cust.bucket.emptyUntil,
 		CeilingTokens:    cust.ceiling.tokens - reserved,
@@ -102,6 +103,23 @@
 	}
 }
 
+// exportTurn is the number of the last turn that a customer has used; 0: none, or its share does not go by turns.
+func (b *Balancer) exportTurn(cust *customer) int64 {
+	turns, ok := b.sparseTurns(cust, &b.settings.Plans[cust.plan])
+	if !ok {
+		return 0
+	}
+	return cust.ceiling.lastTurn(turns, b.settings.Index)
+}
+
+// importTurn takes over the number of the last turn that a customer has used. The former process may have counted
+// other turns, but used none that is still to come.
+func (b *Balancer) importTurn(cust *customer, plan *Plan, lastTurn int64) {
+	if turns, ok := b.sparseTurns(cust, plan); ok && lastTurn > 0 {
+		cust.ceiling.turnUsedAt = min(b.now, turns.StartOf(lastTurn, b.settings.Index))
+	}
+}
+
 // giveUpTokens drops what has been handed over.
 func (cust *customer) giveUpTokens() {
 	cust.quota.dropTokens()
@@ -192,6 +210,7 @@
 	cust.quota.restore(from, plan.Burst/from.Gateways)
 	cust.bucket.restore(from)
 	cust.ceiling.restore(from, plan.CeilingBurst)
+	b.importTurn(cust, plan, from.LastTurn)
 	return cust
 }
 
@@ -224,7 +243,6 @@
 	ceiling.tokens = min(from.CeilingTokens, depth)
 	ceiling.admitOnlyTokens = from.AdmitOnlyTokens
 	ceiling.filledAt = from.CeilingFilledAt
-	ceiling.lastTurn = from.LastTurn
 }
 
 // importInFlight counts the requests that are in flight at the former process against the plan's limit until they
--- a/internal/balancer/quota.go
+++ b/internal/balancer/quota.go
@@ -70,6 +70,7 @@
 		return decision
 	}
 	req.quota.covered = req.level < priorityBands
+	req.quota.charged = req.quota.covered && plan.Rate > 0
 	b.reserveCeiling(req, source)
 	return quotaCovered
 }
--- a/internal/balancer/quotashare/loans.go
+++ b/internal/balancer/quotashare/loans.go
@@ -131,6 +131,9 @@
 	return granted, true
 }
 
+// DropBorrowed drops all borrowed loans.
+func (loans *Loans) DropBorrowed() { loans.borrowed = nil }
+
 // HasAny reports whether there are loans.
 func (loans *Loans) HasAny() bool { return len(loans.borrowed)+len(loans.lent) > 0 }
 
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -51,6 +51,8 @@
 type quotaProgress struct {
 	// covered is set if tokens of the customer cover the request.
 	covered bool
+	// charged is set if the request is covered by a quota: its units were spent. A plan without one covers for nothing.
+	charged bool
 	// paidByCounter is set if these tokens were leased from the counter.
 	paidByCounter bool
 	// onCredit is set if the request went on without leased tokens and without an answer of the counter.
@@ -70,9 +72,9 @@
 	// lease is what the units were leased on, and leaseWindow the window that they were leased for, with fromLease.
 	lease       *leasedCeiling
 	leaseWindow int64
-	// turn is the gateway's time slot that the request uses, with fromEvenShare where a share is less than a unit; 0:
-	// there are no turns.
-	turn int64
+	// turnAt is a time in the gateway's turn that the request uses, with fromEvenShare where a share goes by turns; 0:
+	// it does not.
+	turnAt time.Duration
 	// leaseRequested is set once the request has called the counter for a ceiling lease.
 	leaseRequested bool
 }
@@ -169,7 +171,7 @@
 	b.dequeue(req)
 	b.releaseCeiling(req, false)
 	b.cancelAttempts(req)
-	if len(req.attempts.all) == 0 && !req.admitted && req.quota.covered && b.settings.Plans[req.plan].Rate > 0 {
+	if len(req.attempts.all) == 0 && !req.admitted && req.quota.charged {
 		req.customer.quota.refund(req.units)
 	}
 	if req.inFlight {
--- a/internal/balancer/sparseshare.go
+++ b/internal/balancer/sparseshare.go
@@ -46,6 +46,14 @@
 	}
 }
 
+// sparseTurns are the turns by which a customer's share of a plan's ceiling goes; false where it does not go by turns.
+func (b *Balancer) sparseTurns(cust *customer, plan *Plan) (ceilinglease.Turns, bool) {
+	if !b.hasSparseShares(cust, plan) {
+		return ceilinglease.Turns{}, false
+	}
+	return ceilingTurns(cust, plan)
+}
+
 // ceilingTurns are the turns of a customer's gateways where each one's share of what is beyond the quota is less than
 // a unit; false where it is not.
 func ceilingTurns(cust *customer, plan *Plan) (ceilinglease.Turns, bool) {
@@ -60,7 +68,7 @@
 	turn, open := turns.At(now, b.settings.Index)
 	firstTurn, _ := turns.At(b.startedAt, b.settings.Index)
 	tokens := 0.0
-	if open && turn > cust.ceiling.lastTurn && turn > firstTurn {
+	if open && turn > cust.ceiling.lastTurn(turns, b.settings.Index) && turn > firstTurn {
 		tokens = 1
 	}
 	cust.ceiling.setTokens(now, tokens)
@@ -103,6 +111,7 @@
 		return b.awaitSparseCeiling(check)
 	}
 	req.quota.covered = true
+	req.quota.charged = true
 	return quotaCovered
 }
 
--- a/internal/balancer/termschange_test.go
+++ b/internal/balancer/termschange_test.go
@@ -365,8 +365,7 @@
 	if !ok {
 		t.Fatal("the plan has no turns")
 	}
-	used, _ := turns.At(time.Hour, b.settings.Index)
-	cust.ceiling.drawTurn(used)
+	cust.ceiling.drawTurn(turns, b.settings.Index, time.Hour)
 	next := settings
 	next.Plans = slices.Clone(settings.Plans)
 	next.Plans[1].CeilingRate = 15
