Policy replica: a test of a report's location that comes late (red)

Need: beside TestPolicyReplicasHistory, reading locateHistory found that a location is taken whoever asked, and stays for the next caller.

--- a/internal/policyreplica/replica_test.go
+++ b/internal/policyreplica/replica_test.go
@@ -258,6 +258,26 @@
 	}
 }
 
+// TestPolicyReplicasHistoryAfterLateLocation has the location of an earlier report come when its caller is gone: the next
+// caller must get the present history all the same.
+func TestPolicyReplicasHistoryAfterLateLocation(t *testing.T) {
+	t.Parallel()
+	n := newNetwork(t, 3, unchanged)
+	n.waitApplied("initial", 0, 1, 2)
+	for i, replica := range n.replicas {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		late := &reportLocation{Report: historyReport, Hash: policy.Hash{1}}
+		if err := replica.call(ctx, func() { replica.handleReportLocation(late) }); err != nil {
+			t.Fatal(err)
+		}
+		history, err := replica.History(ctx)
+		cancel()
+		if err != nil || !strings.Contains(string(history), `"id":"begin"`) {
+			t.Errorf("gateway %d: %q, %v", i, history, err)
+		}
+	}
+}
+
 // TestPolicyReplicaWithoutQuorum starts one of three gateways alone: it decides by what its disk has, as configured.
 func TestPolicyReplicaWithoutQuorum(t *testing.T) {
 	t.Parallel()
