Policy replica: the leader finds its own history, and late locations are not taken

A report is fetched like a policy document: disk first, then the other gateways. The leader's reports are in its memory only, and sources() leaves the gateway itself out (call.go, awaitDownload). Hypotheses: (a) the location's message is lost, (b) the report is nowhere the leader looks. Beside it, handleReportLocation took any location, and a late one sent the next caller after a report that nobody has; the table of locations grew with any name.

Change: own reports are looked at first; a location counts only while a caller waits for it. Looked elsewhere: ensurePrepared, whose documents are on the own disk.

--- a/internal/policyreplica/call.go
+++ b/internal/policyreplica/call.go
@@ -215,9 +215,12 @@
 	}
 }
 
-// awaitDownload returns the document of a download that is complete. If it is not, and no other download runs, this one
-// runs next.
+// awaitDownload returns the document of a download that is complete, or a report that this gateway itself made: the
+// leader's history is at no other gateway. If there is none, and no other download runs, this one runs next.
 func (r *Replica) awaitDownload(own *download) []byte {
+	if report := r.reports.byHash[own.hash]; report != nil {
+		return report
+	}
 	document := r.preparer.downloaded[own.hash]
 	if document == nil && r.download == nil {
 		r.download = own
@@ -228,19 +231,20 @@
 
 // History returns the outcomes of the last changes, as JSON, from the leader. Its errors are those of Document.
 func (r *Replica) History(ctx context.Context) ([]byte, error) {
+	defer r.cleanUp(func() { delete(r.awaited, historyReport) })
 	hash, err := r.locateHistory(ctx)
 	if err != nil {
 		return nil, err
 	}
-	defer r.cleanUp(func() { delete(r.awaited, historyReport) })
 	return r.Document(ctx, hash)
 }
 
 // locateHistory returns the hash by which the leader's history can be fetched.
 func (r *Replica) locateHistory(ctx context.Context) (hash policy.Hash, err error) {
 	err = r.poll(ctx, func() bool {
-		located, ok := r.awaited[historyReport]
-		if !ok || located == (policy.Hash{}) {
+		located := r.awaited[historyReport]
+		if located == (policy.Hash{}) {
+			r.awaited[historyReport] = policy.Hash{} // from now on a location is awaited
 			for _, voter := range r.voters {
 				r.send(voter, &message{ReportRequest: historyReport})
 			}
--- a/internal/policyreplica/message.go
+++ b/internal/policyreplica/message.go
@@ -9,8 +9,6 @@
 const (
 	// historyReport names the report of the outcomes of the last changes, as JSON.
 	historyReport = "history"
-	// maxReportNameBytes limits the name of a report.
-	maxReportNameBytes = 15
 )
 
 // message is one datagram between gateways. Exactly one field is set.
--- a/internal/policyreplica/transfer.go
+++ b/internal/policyreplica/transfer.go
@@ -2,15 +2,13 @@
 
 import (
 	"time"
-
-	"gapgap/internal/policy"
 )
 
 // updateDownload starts, drops or continues the download of a document.
 func (r *Replica) updateDownload(now time.Duration) {
 	if hash, source, ok := r.node.Participant().MissingDocument(); ok {
 		r.ensurePrepared(hash, int(source))
-	} else if r.download != nil && !r.isAwaited(r.download.hash) {
+	} else if r.download != nil && !r.awaited.has(r.download.hash) {
 		r.download = nil
 	}
 	if r.download == nil {
@@ -22,11 +20,6 @@
 	}
 }
 
-// isAwaited tells whether a caller waits for a document, or the document is a report of this gateway.
-func (r *Replica) isAwaited(hash policy.Hash) bool {
-	return r.reports.byHash[hash] != nil || r.awaited.has(hash)
-}
-
 // sources returns the gateways that may have a document: the given one, then the voters, then all others.
 func (r *Replica) sources(first int) (gateways []int) {
 	candidates := append([]int{first}, r.voters...)
@@ -80,8 +73,10 @@
 	r.send(from, &message{ReportLocation: &reportLocation{Report: historyReport, Hash: hash}})
 }
 
+// handleReportLocation takes the location of a report that a caller waits for. One that comes later belongs to a report
+// that may be gone by the time of the next caller.
 func (r *Replica) handleReportLocation(location *reportLocation) {
-	if len(location.Report) <= maxReportNameBytes {
-		r.awaited[location.Report] = location.Hash
+	if _, isAwaited := r.awaited[historyReport]; isAwaited && location.Report == historyReport {
+		r.awaited[historyReport] = location.Hash
 	}
 }
