--- a/internal/balancer/outlier_test.go
+++ b/internal/balancer/outlier_test.go
@@ -223,3 +223,41 @@
 		t.Errorf("a reinstated endpoint is not reported as warming up: %v", actions)
 	}
 }
+
+// An endpoint that answers a probe request after a long silence may have been restarted: it warms up, as after a health
+// check. One that answers soon, or answers an attempt from before its ejection, was not restarted.
+func TestProbeRequestStartsSlowStart(t *testing.T) {
+	cases := []struct {
+		name    string
+		silence time.Duration
+		before  bool
+		warms   bool
+	}{
+		{"a probe request after a long silence", restartSilence + time.Second, false, true},
+		{"a probe request soon after the ejection", restartSilence - time.Second, false, false},
+		{"a late answer to an attempt from before", restartSilence + time.Second, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			settings := singleGatewaySettings()
+			settings.AllowHealthChecks = false
+			b := newTestBalancer(t, settings, testEndpoints(1)...)
+			now := time.Second
+			dispatch := singleDispatch(t, b.Step(now, []Event{testRequest(1, 0, 2)}))
+			if !c.before {
+				b.Step(now, []Event{succeeded(dispatch, 0, ms)})
+			}
+			ep := b.endpoints.byName["b0"]
+			b.eject(ep)
+			now += c.silence
+			if !c.before {
+				dispatch = singleDispatch(t, b.Step(now, []Event{testRequest(2, 0, 2)}))
+			}
+			reports := actionsOf[HealthReport](b.Step(now+5*ms, []Event{succeeded(dispatch, 0, 5*ms)}))
+			told := len(reports) == 1 && reports[0].Health == WarmingUp
+			if ep.outlier.ejected || ep.slowStart.active != c.warms || told != c.warms {
+				t.Errorf("ejected %v, warming up %v, reports %v", ep.outlier.ejected, ep.slowStart.active, reports)
+			}
+		})
+	}
+}
