Balancer: an endpoint that answers a probe request after a long silence warms up

Cause: handleHealthCheckResult alone began the slow start; an answer to a request that serves as a probe came through recordResponse (attemptresult.go), and could not know of the silence, as becomeBusy had set lastResponseAt to the probe's time. Change: reinstateProbed for both, becomeBusy leaves ejected endpoints alone, the probe counts in the budget. Looked elsewhere: the other changes of lastResponseAt.

--- a/internal/balancer/attemptresult.go
+++ b/internal/balancer/attemptresult.go
@@ -76,12 +76,12 @@
 	case Timeout:
 		b.recordTimeout(ep, ratio)
 	case Failed:
-		b.recordResponse(ep)
+		b.recordResponse(att)
 	case Rejected:
-		b.recordResponse(ep)
+		b.recordResponse(att)
 		ep.concurrency.decreaseRejected()
 	case OK:
-		b.recordResponse(ep)
+		b.recordResponse(att)
 		b.recordAnswer(att, latency, ratio)
 	}
 	if isOutOfTime && !ep.outlier.ejected {
@@ -136,10 +136,17 @@
 	ep.concurrency.decrease(timeoutDecrease)
 }
 
-// recordResponse counts any response as a sign of life, which reinstates an ejected endpoint.
-func (b *Balancer) recordResponse(ep *endpoint) {
-	ep.outlier.recordResponse(b.now)
-	if ep.outlier.ejected {
+// recordResponse counts any response as a sign of life, which reinstates an ejected endpoint. One that answers an
+// attempt from before its ejection has not been restarted since.
+func (b *Balancer) recordResponse(att *attempt) {
+	ep := att.endpoint
+	switch {
+	case !ep.outlier.ejected:
+		ep.outlier.recordResponse(b.now)
+	case att.kind == probeAttempt:
+		b.reinstateProbed(ep)
+		ep.slowStart.recordDispatch(att.sentAt, att.request.cost)
+	default:
 		b.reinstate(ep)
 	}
 }
--- a/internal/balancer/outlier.go
+++ b/internal/balancer/outlier.go
@@ -77,9 +77,12 @@
 	return o.connectionFailures
 }
 
-// becomeBusy records that the endpoint has work after having none: silence counts from here on.
+// becomeBusy records that the endpoint has work after having none: silence counts from here on. A probe of an ejected
+// endpoint ends no silence.
 func (o *outlierState) becomeBusy(now time.Duration) {
-	o.lastResponseAt = max(o.lastResponseAt, now)
+	if !o.ejected {
+		o.lastResponseAt = max(o.lastResponseAt, now)
+	}
 }
 
 // hasBrokenConnections reports whether connections failed often enough to eject the endpoint.
@@ -225,17 +228,21 @@
 		req.timeLimit.Seconds() >= probeTimeLatencies*b.expectedLatency(req, nil)
 }
 
-// handleHealthCheckResult reinstates an endpoint whose health check succeeded. After a long silence it may have been
-// restarted, so it warms up.
+// handleHealthCheckResult reinstates an endpoint whose health check succeeded.
 func (b *Balancer) handleHealthCheckResult(ev HealthCheckResult) {
 	ep := b.endpoints.byName[ev.Endpoint]
 	if ep == nil || !ep.outlier.ejected {
 		return
 	}
 	b.scheduleProbe(ep)
-	if ev.Status != OK {
-		return
+	if ev.Status == OK {
+		b.reinstateProbed(ep)
 	}
+}
+
+// reinstateProbed reinstates an endpoint that has answered a health check or a probe request. After a long silence it
+// may have been restarted, so it warms up.
+func (b *Balancer) reinstateProbed(ep *endpoint) {
 	mayHaveRestarted := b.now-ep.outlier.lastResponseAt > restartSilence
 	b.reinstate(ep)
 	if mayHaveRestarted {
