Proxy: tests of a loop that is late at a deadline (red)

Need: TestPowerReturnsInWaves saw '-ERR no answer in time' after 1.00 to 1.03 s at a load of 23 to 30. Only the proxy's own timer (startDeadline) writes that line. By reading there are two ways to it: (a) the loop is later than the resolution at the deadline, so the module's timer and the loop's own are due in one turn, and the own one answers before the step; (b) the turn is later than that between the taking of a request and the step, so the module counts the time left from too late. Which of the two the flaky test meets is traced next.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -176,3 +176,44 @@
 		t.Error("the backend has no slot left, though nothing is out there")
 	}
 }
+
+// newProxyWithResolution returns a proxy whose module answers that much before a deadline, and has no endpoint.
+func newProxyWithResolution(t *testing.T, resolution time.Duration) *Proxy {
+	t.Helper()
+	p, _ := newProxy(t)
+	rules := *p.Rules()
+	rules.Settings.Resolution = resolution
+	p.updateSettings(rules)
+	p.HandleEndpointUpdate(endpoint.Update{Kind: balancer.CachedSnapshot})
+	p.Step()
+	return p
+}
+
+// A loop that is late at a request's deadline finds the module's timer and its own due at once: the module answers, with
+// a rejection that the client may repeat, and not the loop's own timer.
+func TestLateLoopLeavesTheDeadlineToTheModule(t *testing.T) {
+	const resolution = 4 * time.Millisecond
+	p := newProxyWithResolution(t, resolution)
+	request, client := submit(p, "1")
+	p.Step()
+	p.RunDue(request.deadline + 2*resolution)
+	p.Step()
+	if len(client.answers) != 1 || client.answers[0].Outcome != Rejected {
+		t.Errorf("answers %+v, want one rejection", client.answers)
+	}
+}
+
+// A turn that takes long between the taking of a request and the module's step does not move the module's deadline behind
+// the loop's own.
+func TestLateStepLeavesTheDeadlineToTheModule(t *testing.T) {
+	const resolution = 4 * time.Millisecond
+	p := newProxyWithResolution(t, resolution)
+	request, client := submit(p, "1")
+	p.SkewClock(5 * resolution) // other tasks of the turn take so long
+	p.Step()
+	p.RunDue(request.deadline)
+	p.Step()
+	if len(client.answers) != 1 || client.answers[0].Outcome != Rejected {
+		t.Errorf("answers %+v, want one rejection", client.answers)
+	}
+}
