Proxy: a loop that is late leaves the answer at the deadline to the module

Cause: startDeadline's timer answered at once, though the module's timer, due one resolution before it, had only queued its event in the same turn (request.go, RunDue runs both before Step); and open worked out the time left at the turn's beginning, so after a late turn the module's deadline lay behind the client's. Each shown by its red test.

Change: with events that the module has not heard the timer leaves the request to the step of the same turn; the time left is corrected where events have waited longer than the resolution that the module is told. The log line says how late.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -38,6 +38,8 @@
 	openIDs map[string]bool
 	// newAdmitOnly are requests for admission only that were taken since the last Step.
 	newAdmitOnly []*Request
+	// overdue are requests whose deadline was over before the next Step, which may still answer them.
+	overdue []*Request
 	// donePending are ended requests of which the Balancer hears with the next Step.
 	donePending []*Request
 	names       endpointNames
@@ -199,9 +201,12 @@
 	for len(p.events) > 0 {
 		events := p.events
 		p.events = nil
-		for _, action := range p.balancer.Step(p.Now(), events) {
+		now := p.Now()
+		p.correctTimeLeft(events, now)
+		for _, action := range p.balancer.Step(now, events) {
 			p.apply(action)
 		}
+		p.answerOverdue()
 	}
 	for i, request := range p.newAdmitOnly {
 		p.newAdmitOnly[i] = nil
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -208,6 +208,7 @@
 func TestLateStepLeavesTheDeadlineToTheModule(t *testing.T) {
 	const resolution = 4 * time.Millisecond
 	p := newProxyWithResolution(t, resolution)
+	p.RunPending(nil, 0) // the turn begins
 	request, client := submit(p, "1")
 	p.SkewClock(5 * resolution) // other tasks of the turn take so long
 	p.Step()
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -122,19 +122,54 @@
 }
 
 // startDeadline answers a request at its deadline. The Balancer does that by its own timers; this is for the case
-// that it does not.
+// that it does not. Where the loop is late both timers are due in one turn: the Balancer hears first.
 func (p *Proxy) startDeadline(request *Request) {
 	request.deadlineTimer = p.At(request.deadline, func() {
-		p.log.Error("the module left a request unanswered", "id", request.id)
-		p.abandon(request)
-		request.counters.Ended(stats.Faulted)
-		if p.OnAnswer != nil {
-			p.OnAnswer(request.Class, TimedOut, p.Now()-request.At)
+		if len(p.events) > 0 {
+			p.overdue = append(p.overdue, request)
+			return
 		}
-		request.Client.Answer(Answer{Outcome: TimedOut})
+		p.answerTimedOut(request)
 	})
 }
 
+// answerOverdue answers the requests whose deadline was over before a Step that left them unanswered.
+func (p *Proxy) answerOverdue() {
+	overdue := p.overdue
+	p.overdue = nil
+	for _, request := range overdue {
+		if !request.ended {
+			p.answerTimedOut(request)
+		}
+	}
+}
+
+// answerTimedOut answers a request that the Balancer has left unanswered.
+func (p *Proxy) answerTimedOut(request *Request) {
+	p.log.Error("the module left a request unanswered", "id", request.id, "late", p.Now()-request.deadline)
+	p.abandon(request)
+	request.counters.Ended(stats.Faulted)
+	if p.OnAnswer != nil {
+		p.OnAnswer(request.Class, TimedOut, p.Now()-request.At)
+	}
+	request.Client.Answer(Answer{Outcome: TimedOut})
+}
+
+// correctTimeLeft takes off the requests' time left what events have waited in a turn that is later than the Balancer
+// is told that events wait at most. Otherwise the Balancer's deadlines would come after the clients'.
+func (p *Proxy) correctTimeLeft(events []balancer.Event, now time.Duration) {
+	if now-p.Coarse() <= p.Rules().Settings.Resolution {
+		return
+	}
+	for i, event := range events {
+		arrived, ok := event.(balancer.Request)
+		if request := p.requests[arrived.ID]; ok && request != nil {
+			arrived.TimeLeft = max(0, request.deadline-now)
+			events[i] = arrived
+		}
+	}
+}
+
 // ClientGone ends the request of a client that has disconnected.
 func (p *Proxy) ClientGone(request *Request) {
 	if p.requests[request.id] == request && !request.ended {
