--- /dev/null
+++ b/internal/idempotency/replica/coordinator_test.go
@@ -0,0 +1,19 @@
+package replica
+
+import (
+	"testing"
+	"time"
+)
+
+// Gateways without a vote are no part of the majority that must answer, whatever they send.
+func TestGatewaysWithoutVoteAreNoQuorum(t *testing.T) {
+	c := startCluster(t, clusterConfig{gateways: 5, retention: time.Hour})
+	loop := newCoordinatorLoop(c.replicas[0])
+	voters := loop.replica.config.Voters
+	for from := range c.replicas {
+		loop.handleMessage(receivedMessage{from: from, message: &message{Pong: true}})
+	}
+	if got := loop.countAnswering(loop.now()); got != len(voters) || len(voters) >= len(c.replicas) {
+		t.Errorf("%d of %d voters answer, of %d gateways", got, len(voters), len(c.replicas))
+	}
+}
--- a/internal/scenario/powerloss_test.go
+++ b/internal/scenario/powerloss_test.go
@@ -6,6 +6,9 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
+
+	"gapgap/internal/simulator"
 )
 
 const powerLossScript = "../../scenarios/power-loss.toml"
@@ -87,3 +90,30 @@
 		}
 	}
 }
+
+// The script's gateways come back in waves: what ends one kill does not start a gateway that another one still holds down.
+func TestPowerLossScriptPlaysWaves(t *testing.T) {
+	t.Parallel()
+	r := newRun(powerLoss(t, 5, 0))
+	if err := r.addEndpoints(); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.startGateways(); err != nil {
+		t.Fatal(err)
+	}
+	r.scheduleEvents()
+	alive := func(at time.Duration) (n int) {
+		r.world.Run(simulator.Start + at)
+		for _, gateway := range r.world.Gateways {
+			if gateway.IsAlive {
+				n++
+			}
+		}
+		return n
+	}
+	before, lost := alive(19*time.Second), alive(21*time.Second)
+	first, second, all := alive(22500*time.Millisecond), alive(24*time.Second), alive(27*time.Second)
+	if before != 5 || lost != 0 || first < 1 || first >= second || second >= all || all != 5 {
+		t.Errorf("alive: %d before, %d without power, then %d, %d, %d; want three waves", before, lost, first, second, all)
+	}
+}
