Hosted service: a reload takes no policy back, and operators' calls read no configuration unlocked

Cause: Reload read and parsed the policy's document by the replica's view, and only then took the lock (reload.go, parseWithPolicy then applyConfig); a version that took hold between was overwritten. SwitchTo took what had been built with the file of that time. Hypotheses: (a) versions are applied out of order, (b) the reload overwrites: the rate seen is that of just the version before, and only with reloads beside: (b).

Change: Service.policyVersion under the lock; applyNodePart refuses what was read with another version, and Reload reads it again; applyPolicy builds again where the file has changed since; names that no reload changes are kept by policyHost and startupRecovery.

--- a/internal/service/hosted/policy.go
+++ b/internal/service/hosted/policy.go
@@ -26,6 +26,8 @@
 type policyHost struct {
 	service *Service
 	replica *policyreplica.Replica
+	// name is this gateway's, which no reload changes.
+	name string
 	// gateways are the names of all gateways.
 	gateways []string
 	lease    *proxy.DecisionLease
@@ -39,7 +41,7 @@
 
 // openPolicy opens the policy replica with what the gateway's disk has.
 func (s *Service) openPolicy(cfg *Config) (*policyHost, error) {
-	host := &policyHost{service: s, lease: proxy.NewDecisionLease()}
+	host := &policyHost{service: s, name: cfg.Node.Name, lease: proxy.NewDecisionLease()}
 	for _, gateway := range cfg.Fleet.Gateways {
 		host.gateways = append(host.gateways, gateway.Name)
 	}
@@ -107,27 +109,44 @@
 	}
 }
 
+// builtPolicy is a policy document that was read with this gateway's own file.
+type builtPolicy struct {
+	document []byte
+	// own is the configuration whose file that was, and cfg what came of both.
+	own *Config
+	cfg *Config
+}
+
 // Build implements [policyreplica.Host].
 func (p *policyHost) Build(document []byte) (any, error) {
 	p.service.mu.Lock()
 	own := p.service.cfg
 	p.service.mu.Unlock()
-	return ParseWith(own.file, own.text, "policy", document)
+	return buildPolicy(own, document)
+}
+
+// buildPolicy reads a policy document with the file of a configuration.
+func buildPolicy(own *Config, document []byte) (*builtPolicy, error) {
+	cfg, err := ParseWith(own.file, own.text, "policy", document)
+	if err != nil {
+		return nil, err
+	}
+	return &builtPolicy{document: document, own: own, cfg: cfg}, nil
 }
 
-// parseWithPolicy returns the node's part of a configuration with the policy that this gateway decides by.
-func (p *policyHost) parseWithPolicy(cfg *Config) (*Config, error) {
+// parseWithPolicy returns the node's part of a configuration with the policy that this gateway decides by, and the
+// number of that policy's version.
+func (p *policyHost) parseWithPolicy(ctx context.Context, cfg *Config) (*Config, uint64, error) {
 	view := p.replica.View()
 	if view.Version.Number == 0 {
-		return nil, errNoVersion
+		return nil, 0, errNoVersion
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
-	defer cancel()
 	document, err := p.replica.Document(ctx, view.Version.Hash)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return ParseWith(cfg.file, cfg.text, "policy", document)
+	merged, err := ParseWith(cfg.file, cfg.text, "policy", document)
+	return merged, view.Version.Number, err
 }
 
 // StopDeciding implements [policyreplica.Host].
@@ -161,11 +180,11 @@
 
 // SwitchTo implements [policyreplica.Host]. It returns once all event loops go by the version.
 func (p *policyHost) SwitchTo(version uint64, built any) error {
-	cfg, ok := built.(*Config)
+	ready, ok := built.(*builtPolicy)
 	if !ok {
 		return errNotBuilt
 	}
-	if err := p.service.applyConfig(cfg); err != nil {
+	if err := p.service.applyPolicy(version, ready); err != nil {
 		return err
 	}
 	all := p.proxies()
--- a/internal/service/hosted/policycommand.go
+++ b/internal/service/hosted/policycommand.go
@@ -95,7 +95,7 @@
 func (p *policyHost) status(ctx context.Context) *PolicyStatus {
 	view := p.replica.View()
 	status := &PolicyStatus{
-		Name:    p.service.cfg.Node.Name,
+		Name:    p.name,
 		Version: view.Version,
 		Decides: view.DecidesUntil > p.service.clock.Now(),
 	}
@@ -122,7 +122,7 @@
 		Note:       request.note,
 		Bytes:      int64(len(request.document)),
 		ProposedAt: time.Now().UnixMilli(),
-		Source:     uint16(slices.Index(p.gateways, p.service.cfg.Node.Name)),
+		Source:     uint16(slices.Index(p.gateways, p.name)),
 	}
 	if _, err := p.Build(request.document); err != nil {
 		return nil, err
--- a/internal/service/hosted/recovery.go
+++ b/internal/service/hosted/recovery.go
@@ -23,7 +23,9 @@
 // startupRecovery takes this process through the steps of its recovery, and rejects clients until the last is done. A
 // nil startupRecovery stands for a gateway that stands alone; of such a one only the methods that say so may be called.
 type startupRecovery struct {
-	service    *Service
+	service *Service
+	// name is this gateway's, which no reload changes.
+	name       string
 	barrier    *proxy.StartupBarrier
 	stopped    chan struct{}
 	goroutines sync.WaitGroup
@@ -51,7 +53,7 @@
 
 // newStartupRecovery returns the recovery at its first step. The disk must have been read.
 func (s *Service) newStartupRecovery(cfg *Config) *startupRecovery {
-	r := &startupRecovery{service: s, stopped: make(chan struct{})}
+	r := &startupRecovery{service: s, name: cfg.Node.Name, stopped: make(chan struct{})}
 	identity := fmt.Sprintf("incarnation %d, by the disk", s.cluster.identity.Incarnation())
 	r.reportDisk(identity)
 	if s.keys != nil && s.keys.View().IsVoter {
@@ -187,7 +189,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return RecoveryView{
-		Name:    r.service.cfg.Node.Name,
+		Name:    r.name,
 		Open:    r.machine.IsOpen(),
 		Steps:   r.machine.Steps(),
 		Trusted: r.diskReport,
--- a/internal/service/hosted/reload.go
+++ b/internal/service/hosted/reload.go
@@ -1,6 +1,8 @@
 package hosted
 
 import (
+	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -12,8 +14,12 @@
 	errEnding          = errors.New("the service is ending")
 	errFleetChanged    = errors.New("what [fleet] says changes with a restart only")
 	errHasPoolsChanged = errors.New("whether there are pools changes with a restart only")
+	errPolicyChanges   = errors.New("the fleet's policy changes all the time: say it again")
 )
 
+// policyRetryInterval is the pause until a reload looks again at the policy that has just changed.
+const policyRetryInterval = 10 * time.Millisecond
+
 // Reload takes the pools, routes, accounts and rules of another configuration, whole or not at all. Its error says why
 // it takes nothing: the shutdown has begun, the configuration changes what takes a restart, or a new pool can't be
 // made. Changes of listeners and of what the process has (memory, sockets, the decision cache) are not looked at before
@@ -23,19 +29,68 @@
 	if s.policy == nil || !hasFleetPolicy(cfg.Fleet) {
 		return s.applyConfig(cfg)
 	}
-	merged, err := s.policy.parseWithPolicy(cfg)
-	if err != nil {
-		return err
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	for {
+		merged, version, err := s.policy.parseWithPolicy(ctx, cfg)
+		if err != nil {
+			return err
+		}
+		if isApplied, err := s.applyNodePart(merged, version); isApplied || err != nil {
+			return err
+		}
+		select { // another version takes hold just now
+		case <-ctx.Done():
+			return errPolicyChanges
+		case <-time.After(policyRetryInterval):
+		}
+	}
+}
+
+// applyNodePart takes the node's part of a configuration that was read with a version of the policy. It reports false,
+// and takes nothing, if this process goes by another version by now.
+func (s *Service) applyNodePart(cfg *Config, version uint64) (isApplied bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.policyVersion != version {
+		return false, nil
+	}
+	if err := s.applyLocked(cfg); err != nil {
+		return false, err
 	}
 	s.log.Info("the node's part of the file is read again; the policy is the fleet's, and the file's is not looked at",
-		"policy", s.policy.replica.View().Version.Number)
-	return s.applyConfig(merged)
+		"policy", version)
+	return true, nil
 }
 
-// applyConfig takes another configuration, whole or not at all, from a reload or a policy version.
+// applyPolicy takes a version of the policy with the node's part of the present configuration, which may be a later one
+// than that with which the policy was built.
+func (s *Service) applyPolicy(version uint64, built *builtPolicy) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !bytes.Equal(s.cfg.text, built.own.text) {
+		again, err := buildPolicy(s.cfg, built.document)
+		if err != nil {
+			return err
+		}
+		built = again
+	}
+	if err := s.applyLocked(built.cfg); err != nil {
+		return err
+	}
+	s.policyVersion = version
+	return nil
+}
+
+// applyConfig takes another configuration, whole or not at all.
 func (s *Service) applyConfig(cfg *Config) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.applyLocked(cfg)
+}
+
+// applyLocked takes another configuration, whole or not at all. The caller holds mu.
+func (s *Service) applyLocked(cfg *Config) error {
 	if err := s.checkReload(cfg); err != nil {
 		return err
 	}
--- a/internal/service/hosted/service.go
+++ b/internal/service/hosted/service.go
@@ -58,6 +58,8 @@
 	mu    sync.Mutex
 	cfg   *Config
 	pools map[string]*pool
+	// policyVersion is the version of the policy in cfg; 0: it is that of the file.
+	policyVersion uint64
 	// isEnding tells that the shutdown has begun: pools are changed no more.
 	isEnding bool
 	// removals are the goroutines that remove pools.
