--- a/internal/service/hosted/forwardauth_quota_test.go
+++ b/internal/service/hosted/forwardauth_quota_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gapgap/internal/fake/peer"
+	"gapgap/internal/frontend/extauthz"
 )
 
 // flood drives one account for a while from many clients at once, over RESP2, HTTP or both, through all gateways, and
@@ -27,9 +28,9 @@
 					c := client()
 					defer c.CloseIdleConnections()
 					for time.Now().Before(end) {
-						code, _, _, err := try(c, d.http+"/traefik", bearer(account)...)
+						code, h, _, err := try(c, d.http+"/traefik", bearer(account)...)
 						if err != nil || code != 200 && code != 429 {
-							t.Errorf("code %d, %v", code, err)
+							t.Errorf("code %d, undecided %q, %v", code, h.Get(extauthz.HeaderUndecided), err)
 							return
 						}
 						if code == 200 {
--- a/internal/service/hosted/forwardauth_test.go
+++ b/internal/service/hosted/forwardauth_test.go
@@ -526,3 +526,23 @@
 		})
 	}
 }
+
+// A check whose deadline comes while the event loop is late is rejected, as it would be otherwise, and not left undecided:
+// the module hears of the deadline before the loop answers for it.
+func TestForwardAuthDeadlineWhileLoopIsLate(t *testing.T) {
+	w := start(t, 1, "doors = 1", "doors = 2", `within = "3s"`, `within = "400ms"`)
+	d := w.gateways[0]
+	w.counter.Stall()
+	spend(t, d, "small", 3) // this gateway's own share, so that the next one needs the counter
+	d.mu.Lock()
+	for _, p := range d.pools {
+		time.AfterFunc(360*time.Millisecond, func() {
+			p.proxy.Post(func() { time.Sleep(80 * time.Millisecond) })
+		})
+	}
+	d.mu.Unlock()
+	code, h, _ := ask(t, client(), d.http+"/long", bearer("small")...)
+	if code != http.StatusTooManyRequests {
+		t.Errorf("code %d, undecided %q", code, h.Get(extauthz.HeaderUndecided))
+	}
+}
