--- a/internal/policyreplica/documentstore_test.go
+++ b/internal/policyreplica/documentstore_test.go
@@ -79,3 +79,32 @@
 		}
 	}
 }
+
+// usedTimes is a file system that notes for which files the time of use is set.
+type usedTimes struct {
+	vfs.OS
+	files []string
+}
+
+func (u *usedTimes) Chtimes(name string, _, _ time.Time) error {
+	u.files = append(u.files, name)
+	return nil
+}
+
+// A document that is stored once more is marked as used in the store's file system, whichever that is.
+func TestStoreTouchesByItsFileSystem(t *testing.T) {
+	used := &usedTimes{}
+	documents, err := openDocumentStore(used, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	document := []byte("a policy")
+	for range 2 {
+		if err := documents.store(document); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if want := documents.path(policy.HashOf(document)); len(used.files) != 1 || used.files[0] != want {
+		t.Errorf("marked as used %q, want %q", used.files, want)
+	}
+}
--- a/internal/service/hosted/reloadpolicy_test.go
+++ b/internal/service/hosted/reloadpolicy_test.go
@@ -120,3 +120,18 @@
 	}
 	wg.Wait()
 }
+
+// A gateway of a fleet is known by its own name, also where it has pools, each with a name of its own: what the check of a
+// file lets pass must start.
+func TestFleetWithPoolsStarts(t *testing.T) {
+	key := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(key, []byte("sixteen bytes, or more"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	fleet := fmt.Sprintf("[fleet]\nlisten = \"127.0.0.1:0\"\nkey_file = %q\nstate_dir = %q\n"+
+		"[[fleet.door]]\nname = \"n1\"\naddress = \"127.0.0.1:1\"\n[fleet.policy]\n", key, t.TempDir())
+	w := startPools(t, "one", fleet, "one", "two", "[node]\n", "[node]\nname = \"n1\"\n")
+	if got := w.gateway.policy.status(t.Context()).Name; got != "n1" {
+		t.Errorf("the gateway's name is %q", got)
+	}
+}
