Hosted service, policy store: a fleet's gateway has its own name beside pools; times by the store's FS

Cause: openCluster, policyHost and startupRecovery took cfg.Node.Name, which is the first pool's where there are pools; documentStore.touch called os.Chtimes and not the file system that the store was given. Change: Config.GatewayName (node.name); vfs.FS.Chtimes, with the simulated disk's.

--- a/internal/fake/power/disk.go
+++ b/internal/fake/power/disk.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"time"
 
 	"gapgap/internal/vfs"
 )
@@ -105,6 +106,14 @@
 	return d.do(vfs.Operation{Kind: vfs.OpMkdir, Path: path})
 }
 
+// Chtimes implements [vfs.FS]. The disk keeps no times.
+func (d *Disk) Chtimes(name string, _, _ time.Time) error {
+	if _, exists := d.names[relativePath(name)]; !exists {
+		return &fs.PathError{Op: "chtimes", Path: name, Err: fs.ErrNotExist}
+	}
+	return nil
+}
+
 // SyncDir implements [vfs.FS].
 func (d *Disk) SyncDir(name string) error {
 	return d.do(vfs.Operation{Kind: vfs.OpSyncDir, Path: relativePath(name)})
--- a/internal/policyreplica/documentstore.go
+++ b/internal/policyreplica/documentstore.go
@@ -85,7 +85,7 @@
 // touch marks a document as used now. A process may have ended before it had synced the directory with the file.
 func (d *documentStore) touch(hash policy.Hash) error {
 	now := time.Now()
-	_ = os.Chtimes(d.path(hash), now, now) // it may be pruned too early, and is fetched again then
+	_ = d.fs.Chtimes(d.path(hash), now, now) // it may be pruned too early, and is fetched again then
 	return d.fs.SyncDir(d.dir)
 }
 
--- a/internal/service/hosted/config.go
+++ b/internal/service/hosted/config.go
@@ -27,6 +27,9 @@
 	Routes *route.Table
 	// SharesCPU tells whether pools share the processor by their weights.
 	SharesCPU bool
+	// GatewayName is node.name, by which the other gateways of a fleet know this one; a fleet's file must have it. A pool
+	// has a name of its own.
+	GatewayName string
 	// HasPools tells whether the file has [[pool]] tables, though it may be one. Without any the whole file is one
 	// pool.
 	HasPools  bool
@@ -113,8 +116,9 @@
 func (f *configFile) config() (*Config, error) {
 	hasPools := len(f.Pools) > 0
 	c := &Config{
-		HasPools:  hasPools,
-		SharesCPU: hasPools && valueOr(f.Node.ShareCPU, true),
+		GatewayName: f.Node.Name,
+		HasPools:    hasPools,
+		SharesCPU:   hasPools && valueOr(f.Node.ShareCPU, true),
 	}
 	allowed, err := parsePrefixes("node.allow", f.Node.Allow)
 	if err != nil {
--- a/internal/service/hosted/policy.go
+++ b/internal/service/hosted/policy.go
@@ -41,7 +41,7 @@
 
 // openPolicy opens the policy replica with what the gateway's disk has.
 func (s *Service) openPolicy(cfg *Config) (*policyHost, error) {
-	host := &policyHost{service: s, name: cfg.Node.Name, lease: proxy.NewDecisionLease()}
+	host := &policyHost{service: s, name: cfg.GatewayName, lease: proxy.NewDecisionLease()}
 	for _, gateway := range cfg.Fleet.Gateways {
 		host.gateways = append(host.gateways, gateway.Name)
 	}
@@ -56,7 +56,7 @@
 func (p *policyHost) replicaConfig(cfg *Config) policyreplica.Config {
 	s, fleet := p.service, cfg.Fleet
 	config := policyreplica.Config{
-		Name:     cfg.Node.Name,
+		Name:     cfg.GatewayName,
 		Index:    fleet.Index,
 		Gateways: p.gateways,
 		FS:       s.disk,
--- a/internal/service/hosted/recovery.go
+++ b/internal/service/hosted/recovery.go
@@ -53,7 +53,7 @@
 
 // newStartupRecovery returns the recovery at its first step. The disk must have been read.
 func (s *Service) newStartupRecovery(cfg *Config) *startupRecovery {
-	r := &startupRecovery{service: s, name: cfg.Node.Name, stopped: make(chan struct{})}
+	r := &startupRecovery{service: s, name: cfg.GatewayName, stopped: make(chan struct{})}
 	identity := fmt.Sprintf("incarnation %d, by the disk", s.cluster.identity.Incarnation())
 	r.reportDisk(identity)
 	if s.keys != nil && s.keys.View().IsVoter {
--- a/internal/service/hosted/service.go
+++ b/internal/service/hosted/service.go
@@ -135,7 +135,7 @@
 
 // openCluster opens what a gateway of a cluster has beside one that stands alone.
 func (s *Service) openCluster(cfg *Config) (err error) {
-	if s.cluster, err = s.newClusterMember(cfg.Fleet, cfg.Node.Name); err != nil {
+	if s.cluster, err = s.newClusterMember(cfg.Fleet, cfg.GatewayName); err != nil {
 		return err
 	}
 	if cfg.Fleet.KeyRetention != nil {
--- a/internal/vfs/os.go
+++ b/internal/vfs/os.go
@@ -3,6 +3,7 @@
 import (
 	"io/fs"
 	"os"
+	"time"
 )
 
 // OS is the operating system's file system.
@@ -30,6 +31,11 @@
 // ReadDir implements [FS].
 func (OS) ReadDir(name string) ([]fs.DirEntry, error) { return os.ReadDir(name) }
 
+// Chtimes implements [FS].
+func (OS) Chtimes(name string, accessed, modified time.Time) error {
+	return os.Chtimes(name, accessed, modified)
+}
+
 // SyncDir implements [FS].
 func (OS) SyncDir(name string) error {
 	dir, err := os.Open(name)
--- a/internal/vfs/vfs.go
+++ b/internal/vfs/vfs.go
@@ -11,6 +11,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"time"
 )
 
 // ErrTooLarge reports a file that has more bytes than its reader allows.
@@ -38,6 +39,8 @@
 	Remove(name string) error
 	MkdirAll(name string, perm fs.FileMode) error
 	ReadDir(name string) ([]fs.DirEntry, error)
+	// Chtimes sets when a file was last used and written. Neither need outlive a power loss.
+	Chtimes(name string, accessed, modified time.Time) error
 	// SyncDir returns nil once the names in the directory outlive a power loss.
 	SyncDir(name string) error
 }
