--- a/internal/balancer/ceilinglease.go
+++ b/internal/balancer/ceilinglease.go
@@ -126,9 +126,8 @@
 // whether there are any: those that the request holds, those of the present lease, or, where its ceiling is leased no
 // more, those of this gateway's share.
 func (b *Balancer) drawLeasedUnits(req *request, plan *Plan) bool {
-	present := req.ceiling.lease
 	if !req.ceiling.holdsUnits(b.now) {
-		present = b.presentLease(req)
+		present := b.presentLease(req)
 		switch {
 		case present == nil:
 			return b.drawEvenShare(req, plan)
--- a/internal/balancer/firstanswer_test.go
+++ b/internal/balancer/firstanswer_test.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// A burst that comes to a gateway before the first answer of its class must not be rejected by the latency that a class is
-// given until then: nobody has measured it. Once that time has passed without an answer, requests are rejected at once.
+// A burst that comes to a gateway before the first answer of its class must not be rejected by the latency that a class
+// is given until then: nobody has measured it. Once that time has passed without an answer, requests are rejected at
+// once.
 func TestBurstBeforeFirstAnswer(t *testing.T) {
 	b := newSingleGateway(t, 2)
 	now := time.Second
--- a/internal/balancer/termschange_test.go
+++ b/internal/balancer/termschange_test.go
@@ -274,7 +274,8 @@
 			p.t.Fatalf("seed %d: %s has %v units reserved, its requests %v", p.seed, cust.name, held, reserved[cust])
 		}
 		if cust.inFlight != inFlight[cust] {
-			p.t.Fatalf("seed %d: %s has %d in flight, its requests %d", p.seed, cust.name, cust.inFlight, inFlight[cust])
+			p.t.Fatalf("seed %d: %s has %d in flight, its requests %d",
+				p.seed, cust.name, cust.inFlight, inFlight[cust])
 		}
 		for name, value := range map[string]float64{
 			"tokens":          cust.quota.tokens,
@@ -315,7 +316,8 @@
 	}
 	for _, cust := range p.balancer.customers.order {
 		if cust.ceiling.reserved != 0 || cust.inFlight != 0 {
-			p.t.Fatalf("seed %d: %s holds %v units and %d places", p.seed, cust.name, cust.ceiling.reserved, cust.inFlight)
+			p.t.Fatalf("seed %d: %s holds %v units and %d places",
+				p.seed, cust.name, cust.ceiling.reserved, cust.inFlight)
 		}
 	}
 }
--- a/internal/idempotency/keytable_test.go
+++ b/internal/idempotency/keytable_test.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// A key that is put again in a later period is one entry, by the later owner: it must not take two of the voter's places.
+// A key that is put again in a later period is one entry, by the later owner: it must not take two of the voter's
+// places.
 func TestKeyInTwoPeriodsCountsOnce(t *testing.T) {
 	table := newKeyTable(0)
 	key := Key{1}
--- a/internal/policyreplica/replica_test.go
+++ b/internal/policyreplica/replica_test.go
@@ -258,8 +258,8 @@
 	}
 }
 
-// TestPolicyReplicasHistoryAfterLateLocation has the location of an earlier report come when its caller is gone: the next
-// caller must get the present history all the same.
+// TestPolicyReplicasHistoryAfterLateLocation has the location of an earlier report come when its caller is gone: the
+// next caller must get the present history all the same.
 func TestPolicyReplicasHistoryAfterLateLocation(t *testing.T) {
 	t.Parallel()
 	n := newNetwork(t, 3, unchanged)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -189,8 +189,8 @@
 	return p
 }
 
-// A loop that is late at a request's deadline finds the module's timer and its own due at once: the module answers, with
-// a rejection that the client may repeat, and not the loop's own timer.
+// A loop that is late at a request's deadline finds the module's timer and its own due at once: the module answers,
+// with a rejection that the client may repeat, and not the loop's own timer.
 func TestLateLoopLeavesTheDeadlineToTheModule(t *testing.T) {
 	const resolution = 4 * time.Millisecond
 	p := newProxyWithResolution(t, resolution)
@@ -203,8 +203,8 @@
 	}
 }
 
-// A turn that takes long between the taking of a request and the module's step does not move the module's deadline behind
-// the loop's own.
+// A turn that takes long between the taking of a request and the module's step does not move the module's deadline
+// behind the loop's own.
 func TestLateStepLeavesTheDeadlineToTheModule(t *testing.T) {
 	const resolution = 4 * time.Millisecond
 	p := newProxyWithResolution(t, resolution)
--- a/internal/scenario/powerloss_test.go
+++ b/internal/scenario/powerloss_test.go
@@ -91,7 +91,8 @@
 	}
 }
 
-// The script's gateways come back in waves: what ends one kill does not start a gateway that another one still holds down.
+// The script's gateways come back in waves: the end of one kill does not start a gateway that another one still holds
+// down.
 func TestPowerLossScriptPlaysWaves(t *testing.T) {
 	t.Parallel()
 	r := newRun(powerLoss(t, 5, 0))
@@ -114,6 +115,7 @@
 	before, lost := alive(19*time.Second), alive(21*time.Second)
 	first, second, all := alive(22500*time.Millisecond), alive(24*time.Second), alive(27*time.Second)
 	if before != 5 || lost != 0 || first < 1 || first >= second || second >= all || all != 5 {
-		t.Errorf("alive: %d before, %d without power, then %d, %d, %d; want three waves", before, lost, first, second, all)
+		t.Errorf("alive: %d before, %d without power, then %d, %d, %d; want three waves",
+			before, lost, first, second, all)
 	}
 }
--- a/internal/service/hosted/config.go
+++ b/internal/service/hosted/config.go
@@ -27,8 +27,8 @@
 	Routes *route.Table
 	// SharesCPU tells whether pools share the processor by their weights.
 	SharesCPU bool
-	// GatewayName is node.name, by which the other gateways of a fleet know this one; a fleet's file must have it. A pool
-	// has a name of its own.
+	// GatewayName is node.name, by which the other gateways of a fleet know this one; a fleet's file must have it. A
+	// pool has a name of its own.
 	GatewayName string
 	// HasPools tells whether the file has [[pool]] tables, though it may be one. Without any the whole file is one
 	// pool.
--- a/internal/service/hosted/forwardauth_test.go
+++ b/internal/service/hosted/forwardauth_test.go
@@ -527,8 +527,8 @@
 	}
 }
 
-// A check whose deadline comes while the event loop is late is rejected, as it would be otherwise, and not left undecided:
-// the module hears of the deadline before the loop answers for it.
+// A check whose deadline comes while the event loop is late is rejected, as it would be otherwise, and not left
+// undecided: the module hears of the deadline before the loop answers for it.
 func TestForwardAuthDeadlineWhileLoopIsLate(t *testing.T) {
 	w := start(t, 1, "doors = 1", "doors = 2", `within = "3s"`, `within = "400ms"`)
 	d := w.gateways[0]
--- a/internal/service/hosted/reloadpolicy_test.go
+++ b/internal/service/hosted/reloadpolicy_test.go
@@ -62,7 +62,8 @@
 		t.Fatal(err)
 	}
 	for rate := 21; rate <= 40; rate++ {
-		next := strings.Replace(string(document), "rate = 20.0\n", fmt.Sprintf("rate = %d.0\n", rate), 1) + manyAccounts()
+		next := strings.Replace(string(document), "rate = 20.0\n", fmt.Sprintf("rate = %d.0\n", rate), 1)
+		next += manyAccounts()
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		var wg sync.WaitGroup
 		for i := range 4 { // one of them is likely to begin before the version takes hold and to end after it
@@ -121,8 +122,8 @@
 	wg.Wait()
 }
 
-// A gateway of a fleet is known by its own name, also where it has pools, each with a name of its own: what the check of a
-// file lets pass must start.
+// A gateway of a fleet is known by its own name, also where it has pools, each with a name of its own: what the check
+// of a file lets pass must start.
 func TestFleetWithPoolsStarts(t *testing.T) {
 	key := filepath.Join(t.TempDir(), "key")
 	if err := os.WriteFile(key, []byte("sixteen bytes, or more"), 0o600); err != nil {
