Take back the mend of rejections before the first answer: waiting requests hold connections

This takes back. Cause: at an endpoint that is silent from the beginning all requests of the first 0.2 s join the queue and stay there to their deadlines, where the initial latency rejected them at once; they hold their connections, so a newcomer of another pool finds no idle one to take over. An answer held back to its deadline is not accepted either. A whole mend must shed the queue too, once the initial latency has passed without an answer; that is not hurried now.

Golden traces and TestPriorityDecidesQueueLength are those of before.

--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -65,7 +65,6 @@
 		admitOnly:   ev.AdmitOnly,
 		holdFor:     ev.HoldFor,
 	}
-	b.latency.classes[ev.Class].recordRequest(b.now)
 	req.customer = b.customerFor(ev)
 	req.cost = b.latency.classes[ev.Class].costProfile.Cost(ev.Units)
 	return req
--- a/internal/balancer/admission_test.go
+++ b/internal/balancer/admission_test.go
@@ -14,8 +14,6 @@
 		settings.Classes = []Class{settings.Classes[0], settings.Classes[0]}
 		settings.Classes[1].PriorityWeight = 8
 		b := newTestBalancer(t, settings, testEndpoints(1)...)
-		first := singleDispatch(t, b.Step(0, []Event{testRequest(1000, class, 0)}))
-		b.Step(50*ms, []Event{succeeded(first, 0, 50*ms)}) // the latency is measured; it is the initial one
 		n := 0
 		for i := range uint64(100) {
 			b.Step(time.Second, []Event{testRequest(i, class, 0)})
--- a/internal/balancer/latency.go
+++ b/internal/balancer/latency.go
@@ -60,18 +60,6 @@
 	costProfile costmodel.Profile
 	// maxTimeLeft is the most time that a client has given a request.
 	maxTimeLeft time.Duration
-	// firstRequestAt is when the first request of the class came; 0: none yet.
-	firstRequestAt time.Duration
-}
-
-// isUnmeasured reports whether the mean latency is still the initial one and no answer could be expected by it yet.
-func (c *classEstimate) isUnmeasured(now time.Duration) bool {
-	return c.answers == 0 && (now-c.firstRequestAt).Seconds() < c.meanLatency
-}
-
-// recordRequest takes that a request of the class has come.
-func (c *classEstimate) recordRequest(now time.Duration) {
-	c.firstRequestAt = cmp.Or(c.firstRequestAt, now)
 }
 
 // endpointLatency is how one endpoint's latency compares with that of the others.
--- a/internal/balancer/shedding.go
+++ b/internal/balancer/shedding.go
@@ -73,12 +73,8 @@
 }
 
 // isQueueTooLong reports whether a request that joins an endpoint's queue must be expected to be answered too late:
-// EQ 4 seen from the end of the queue. The lower the level, the shorter the queue must be. A latency that nobody has
-// measured makes no queue too long.
+// EQ 4 seen from the end of the queue. The lower the level, the shorter the queue must be.
 func (b *Balancer) isQueueTooLong(req *request, ep *endpoint) bool {
-	if b.latency.classes[req.class].isUnmeasured(b.now) {
-		return false
-	}
 	meanLatency := b.latency.classes[req.class].meanLatency * ep.latency.factor
 	queued := ep.queue.workUpTo(req.level, req.cost) * meanLatency / ep.concurrency.limit
 	expected := req.waited(b.now).Seconds() + queued + b.expectedLatency(req, ep)
