Test of the policy's disks waits for the line that a voter's log is lost

Nothing orders the two, so the check was a race. It waits for both lines now, 10 s at most as its neighbours do, and fails without either as before.

--- a/cmd/gapgapd/policy_test.go
+++ b/cmd/gapgapd/policy_test.go
@@ -540,8 +540,14 @@
 		t.Fatal(err)
 	}
 	goesBy(t, r, d, 1)
-	if !strings.Contains(d.Log(), "this voter's log is lost") || !strings.Contains(d.Log(), "a policy's file is not used") {
-		t.Errorf("it does not say what is wrong:\n%s", d.Log())
+	// It goes by the version as soon as any voter tells it, and learns that its log is lost from a message of its own.
+	if _, err := rig.Within(10*time.Second, func() error {
+		if !strings.Contains(d.Log(), "this voter's log is lost") || !strings.Contains(d.Log(), "a policy's file is not used") {
+			return errors.New("it does not say what is wrong")
+		}
+		return nil
+	}); err != nil {
+		t.Errorf("%v:\n%s", err, d.Log())
 	}
 	if res, err := propose(d, url.Values{"id": {"after"}}, doc); err != nil || !res.Taken {
 		t.Errorf("with two voters: %+v, %v", res, err)
