Test of a reload beside a policy's change waits until the gateway goes by the version

A proposal's caller is told that a version is taken before each gateway goes by it, and event loops get settings by a task; the test looked at once. It waits for the version and for the loops now, and asks the same of the rate.

--- a/internal/service/hosted/reloadpolicy_test.go
+++ b/internal/service/hosted/reloadpolicy_test.go
@@ -22,13 +22,25 @@
 	fleet := fmt.Sprintf("[fleet]\nlisten = \"127.0.0.1:0\"\nkey_file = %q\nstate_dir = %q\n"+
 		"[[fleet.door]]\nname = \"n1\"\naddress = \"127.0.0.1:1\"\n[fleet.policy]\n", key, t.TempDir())
 	d := w.run(w.text(1, 0, "[node]\n", "[node]\nname = \"n1\"\n") + fleet)
-	for end := time.Now().Add(20 * time.Second); d.policy.replica.View().Version.Number == 0; {
+	d.waitForPolicy(t, 1)
+	return d
+}
+
+// waitForPolicy waits until the gateway goes by a version of the policy: a proposal's caller is told that it is taken
+// before all gateways do.
+func (d *gateway) waitForPolicy(t *testing.T, version uint64) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); d.policy.replica.View().Version.Number < version; {
 		if time.Now().After(end) {
-			t.Fatal("no policy")
+			t.Fatalf("the gateway does not go by version %d", version)
 		}
 		time.Sleep(time.Millisecond)
 	}
-	return d
+	for _, p := range d.policy.proxies() { // what was posted to the loops before has been carried out
+		done := make(chan struct{})
+		p.Post(func() { close(done) })
+		<-done
+	}
 }
 
 // businessRate is the rate of the plan "business" by which the gateway decides.
@@ -87,6 +99,7 @@
 		if err != nil || !result.Committed {
 			t.Fatalf("version with a rate of %d: %+v, %v", rate, result, err)
 		}
+		d.waitForPolicy(t, result.Version)
 		if got := d.businessRate(); got != float64(rate) {
 			t.Fatalf("decisions go by a rate of %v once the version with a rate of %d is taken", got, rate)
 		}
