--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -2,6 +2,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*world) (broken bool, err error){
-	"flood": playFlood,
-	"tail":  playTail,
+	"flood":    playFlood,
+	"tail":     playTail,
+	"pipeline": playPipeline,
 }
