--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -5,4 +5,5 @@
 	"flood":    playFlood,
 	"tail":     playTail,
 	"pipeline": playPipeline,
+	"restart":  playRestart,
 }
--- a/review/_stand/door.go
+++ b/review/_stand/door.go
@@ -83,6 +83,12 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return err
 	}
+	return startDoorProcess(d, run, folder, tmp, discovery)
+}
+
+// startDoorProcess starts a front door whose configuration lies in the folder.
+func startDoorProcess(d *door, run, folder, tmp, discovery string) error {
+	path := filepath.Join(folder, d.name+".json")
 	if err := os.MkdirAll(tmp, 0o700); err != nil {
 		return err
 	}
