--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -6,4 +6,5 @@
 	"tail":     playTail,
 	"pipeline": playPipeline,
 	"restart":  playRestart,
+	"leak":     playLeak,
 }
