--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,5 +3,6 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x bin/gapgap ] && [ -x review/bin/stand ] || { echo "not built" >&2; exit 2; }
 RUN=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
-export RUN
+TROUBLE=${TROUBLE:-1} # 0: without the disruption
+export RUN TROUBLE
 exec review/bin/stand tail review/1/record.txt
