--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -33,6 +33,12 @@
 	return streamer.Stream(size)
 }
 
+// CompleteLongValue implements upstream.Owner. The client has its whole answer, so the rest of the endpoint's answer
+// must not hold up the answers behind it.
+func (a *attempt) CompleteLongValue() {
+	a.proxy.answer(a.request, Answer{Outcome: Served})
+}
+
 // Command implements upstream.Owner. It returns nil if the client has disconnected.
 func (a *attempt) Command(wait time.Duration) []byte {
 	if a.proxy.endIfClientGone(a.request, a.SentAt) {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -27,6 +27,9 @@
 	ended        bool
 	// longValueAt is the time at which a long value began to arrive. 0 means that none has.
 	longValueAt time.Duration
+	// valueComplete reports that a long value has been written to its sink as a whole. What is left of the answer is
+	// awaited for a bounded time, whatever becomes of the request.
+	valueComplete bool
 }
 
 // Owner is the originator of an attempt. Its methods are called on the event loop.
@@ -37,6 +40,9 @@
 	// StartLongValue announces a long value of size bytes, which is forwarded in pieces. It returns nil if the value is
 	// not wanted.
 	StartLongValue(size int) Sink
+	// CompleteLongValue reports that the long value has been written to its sink as a whole. HandleResult follows with
+	// status OK once the rest of the answer has arrived or is given up.
+	CompleteLongValue()
 	// HandleResult receives the result of the attempt. It is called exactly once.
 	HandleResult(Result)
 }
@@ -131,9 +137,10 @@
 	}
 }
 
-// Cancel ends an attempt. It does nothing if the attempt has ended or was never sent.
+// Cancel ends an attempt. It does nothing if the attempt has ended, was never sent, or only waits for the rest of its
+// answer after a long value.
 func (p *Pool) Cancel(a *Attempt) {
-	if a.ended || a.connection == nil {
+	if a.ended || a.connection == nil || a.valueComplete {
 		return
 	}
 	status := balancer.Cancelled
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -19,6 +19,10 @@
 const (
 	// defaultStallTimeout bounds the time between two pieces of a long value.
 	defaultStallTimeout = 5 * time.Second
+	// defaultValueTimeout bounds the time spent waiting for the endpoint in the course of a whole long value.
+	defaultValueTimeout = 60 * time.Second
+	// defaultUsageTimeout bounds the time from the end of a long value to the end of its answer.
+	defaultUsageTimeout = time.Second
 	// partialAnswerTimeout bounds the time between two pieces of any other answer. An answer that stalls for so long
 	// announced a wrong length.
 	partialAnswerTimeout = 250 * time.Millisecond
@@ -62,6 +66,10 @@
 	deadlineSet bool
 	// longValue reports that a long value is being read.
 	longValue bool
+	// valueTimeLeft is how much longer the reader waits for the rest of the long value.
+	valueTimeLeft time.Duration
+	// usageDeadline is that of the rest of an answer after its long value; zero: no such rest is awaited.
+	usageDeadline time.Time
 }
 
 // Values of connection.writeState.
@@ -230,18 +238,17 @@
 // Read implements io.Reader.
 func (r answerReader) Read(b []byte) (int, error) {
 	c := r.connection
+	if c.longValue {
+		return r.readLongValue(b)
+	}
 	var deadline time.Time
 	switch {
-	case c.longValue:
-		deadline = time.Now().Add(cmp.Or(c.pool.cfg.StallTimeout, defaultStallTimeout))
+	case !c.usageDeadline.IsZero():
+		deadline = c.usageDeadline
 	case c.reader.HasPartialMessage():
 		deadline = time.Now().Add(partialAnswerTimeout)
 	}
-	if !deadline.IsZero() || c.deadlineSet {
-		// SetReadDeadline fails only on a closed connection, which Read reports.
-		_ = r.netConn.SetReadDeadline(deadline)
-		c.deadlineSet = !deadline.IsZero()
-	}
+	r.setDeadline(deadline)
 	n, err := r.netConn.Read(b)
 	if n > 0 && c.commandsSent.Load() == c.answersRead {
 		return 0, errUnrequested
@@ -249,6 +256,26 @@
 	return n, err
 }
 
+// readLongValue reads a piece of a long value.
+func (r answerReader) readLongValue(b []byte) (int, error) {
+	c := r.connection
+	began := time.Now()
+	r.setDeadline(began.Add(min(cmp.Or(c.pool.cfg.StallTimeout, defaultStallTimeout), c.valueTimeLeft)))
+	n, err := r.netConn.Read(b)
+	c.valueTimeLeft -= time.Since(began)
+	return n, err
+}
+
+// setDeadline sets the deadline of the next read. The zero time means no deadline.
+func (r answerReader) setDeadline(deadline time.Time) {
+	if deadline.IsZero() && !r.connection.deadlineSet {
+		return
+	}
+	// SetReadDeadline fails only on a closed connection, which Read reports.
+	_ = r.netConn.SetReadDeadline(deadline)
+	r.connection.deadlineSet = !deadline.IsZero()
+}
+
 // writeCommand writes the command of the attempt or health check that the connection carries. The part that the socket
 // does not accept at once is written by a separate goroutine: an endpoint that stops reading must not block the loop,
 // which closes the connection at the deadline.
--- a/internal/upstream/longvalue.go
+++ b/internal/upstream/longvalue.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"strconv"
+	"time"
 
 	"gapgap/internal/balancer"
 	"gapgap/internal/resp"
@@ -22,8 +24,7 @@
 var errNoConsumer = errors.New("nobody accepts the long value")
 
 // forwardLongValue reads an answer that begins with a long value and streams the value to a sink. It reads no more than
-// the sink has accepted, so a slow client slows down the endpoint. The rest of the answer contains only usage figures:
-// if they do not arrive, the value still counts as served, but the connection is not reused.
+// the sink has accepted, so a slow client slows down the endpoint. The owner learns of the end of the value at once.
 func (c *connection) forwardLongValue() (reply, error) {
 	items, size := c.reader.StartLongValue()
 	sink := c.beginLongValue(size)
@@ -41,23 +42,42 @@
 		chunk = minLongChunkBytes
 	}
 	c.longValue = true
+	c.valueTimeLeft = cmp.Or(c.pool.cfg.ValueTimeout, defaultValueTimeout)
 	err := c.copyLongValue(sink, size, make([]byte, chunk))
 	c.longValue = false
 	if err != nil {
 		return reply{}, err
 	}
+	c.pool.loop.Post(func() { c.pool.handleLongValueComplete(c) })
+	return c.readUsageFigures(items - 1), nil
+}
+
+// readUsageFigures reads the items that follow a long value. They contain only usage figures: if they do not arrive in
+// time, the value still counts as served, but the connection is not reused.
+func (c *connection) readUsageFigures(items int) reply {
 	r := reply{status: balancer.OK}
-	for i := 1; i < items; i++ {
+	c.usageDeadline = time.Now().Add(cmp.Or(c.pool.cfg.UsageTimeout, defaultUsageTimeout))
+	defer func() { c.usageDeadline = time.Time{} }()
+	for i := range items {
 		message, err := c.reader.Next()
 		if err != nil {
 			r.surplus = true
 			break
 		}
-		if i == 1 {
+		if i == 0 {
 			r.quotaUsed = parseQuotaUsed(message.Data)
 		}
 	}
-	return r, nil
+	return r
+}
+
+// handleLongValueComplete reports on the loop that a long value has been written to its sink as a whole.
+func (p *Pool) handleLongValueComplete(c *connection) {
+	if c.closed || c.attempt == nil {
+		return
+	}
+	c.attempt.valueComplete = true
+	c.attempt.Owner.CompleteLongValue()
 }
 
 // copyLongValue copies a value of the given size to a sink, including its header and line end. The line end is checked
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -47,6 +47,9 @@
 	outcomes     []balancer.Status
 	healthChecks []balancer.HealthCheckResult
 	sink         *recordingSink // receives long values; nil: they are not wanted
+	attempt      *Attempt       // the last one sent
+	completed    int            // how often a long value was reported complete
+	quotaUsed    int            // of the last result
 }
 
 // testOwner is the owner of the attempts of a harness.
@@ -60,7 +63,11 @@
 	o.h.sink.size = size
 	return o.h.sink
 }
-func (o testOwner) HandleResult(r Result) { o.h.outcomes = append(o.h.outcomes, r.Status) }
+func (o testOwner) CompleteLongValue() { o.h.completed++ }
+func (o testOwner) HandleResult(r Result) {
+	o.h.outcomes = append(o.h.outcomes, r.Status)
+	o.h.quotaUsed = r.QuotaUsed
+}
 
 // newHarness returns a harness whose pool knows endpoints at the given addresses.
 func newHarness(t *testing.T, addrs ...string) *harness {
@@ -97,6 +104,7 @@
 	t.Helper()
 	h.outcomes = nil
 	a := &Attempt{Endpoint: "s-0", SentAt: h.Now(), Deadline: h.Now() + 10*time.Second, Owner: testOwner{h}}
+	h.attempt = a
 	h.pool.Send(a)
 	return a
 }
