Fix: a message that arrives in pieces is scanned anew for each piece

Cause: Reader.Next called messageLength from the beginning of the message after each read. Change: a scanner remembers the complete items and the open arrays. TestReaderFindsTheSameMessagesInPieces holds that the messages and errors are the same however the bytes come.

--- a/internal/resp/framing.go
+++ b/internal/resp/framing.go
@@ -20,25 +20,70 @@
 	lineEndBytes = 2
 )
 
-// messageLength returns the bytes of the first message in b, or 0 if it is not complete yet. It returns ErrMalformed
-// for bytes that can't become a message within the limits, so that no memory is allocated for them.
-func messageLength(b []byte, depth, maxValue int) (int, error) {
-	if len(b) == 0 {
-		return 0, nil
+// scanner finds the end of a message. It remembers how far it has come, so that each item is scanned once however the
+// bytes arrive. The zero value is at the start of a message.
+type scanner struct {
+	// end is the number of bytes of the items that are complete.
+	end int
+	// depth is the number of arrays that are not complete, and itemsLeft their missing items, the outermost first.
+	depth     int
+	itemsLeft [maxArrayDepth]int
+}
+
+// messageLength returns the bytes of the first message in b, or 0 if it is not complete yet. b begins with the bytes of
+// the call before. messageLength returns ErrMalformed for bytes that can't become a message within the limits, so that
+// no memory is allocated for them.
+func (s *scanner) messageLength(b []byte, maxValue int) (int, error) {
+	for s.end < len(b) {
+		length, items, err := itemLength(b[s.end:], maxValue)
+		if length == 0 || err != nil {
+			return 0, err
+		}
+		if b[s.end] == redcon.Array && s.depth == maxArrayDepth {
+			return 0, ErrMalformed
+		}
+		s.end += length
+		if items > 0 {
+			s.itemsLeft[s.depth] = items
+			s.depth++
+			continue
+		}
+		if s.completeItem() {
+			return s.end, nil
+		}
 	}
+	return 0, nil
+}
+
+// completeItem counts a complete item, and the arrays that it completes. It reports whether the message is complete.
+func (s *scanner) completeItem() bool {
+	for s.depth > 0 {
+		s.itemsLeft[s.depth-1]--
+		if s.itemsLeft[s.depth-1] > 0 {
+			return false
+		}
+		s.depth--
+	}
+	return true
+}
+
+// itemLength returns the bytes of the first item in b, or 0 if it is not complete yet. Of an array it returns the bytes
+// of its header and the number of its items.
+func itemLength(b []byte, maxValue int) (length, items int, err error) {
 	header, err := lineLength(b)
 	if header == 0 || err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	line := b[1 : header-lineEndBytes]
 	switch b[0] {
 	case redcon.Bulk:
-		return bulkLength(b, line, header, maxValue)
+		length, err = bulkLength(b, line, header, maxValue)
+		return length, 0, err
 	case redcon.Array:
-		return arrayLength(b, line, header, depth, maxValue)
-	default:
-		return header, nil
+		items, err = arrayItems(line)
+		return header, items, err
 	}
+	return header, 0, nil
 }
 
 // lineLength returns the bytes of the first line in b with its line end, or 0 if it is not complete yet.
@@ -82,19 +127,11 @@
 	return end + lineEndBytes, nil
 }
 
-// arrayLength returns the bytes of an array whose number of items is declared by line, which ends at header.
-func arrayLength(b []byte, line []byte, header, depth, maxValue int) (int, error) {
+// arrayItems returns the number of items that the header line of an array declares. -1 stands for a null.
+func arrayItems(line []byte) (int, error) {
 	count, err := strconv.Atoi(string(line))
-	if err != nil || count < -1 || count > maxArrayItems || depth == 0 {
+	if err != nil || count < -1 || count > maxArrayItems {
 		return 0, ErrMalformed
 	}
-	end := header
-	for range count {
-		length, err := messageLength(b[end:], depth-1, maxValue)
-		if length == 0 || err != nil {
-			return 0, err
-		}
-		end += length
-	}
-	return end, nil
+	return count, nil
 }
--- a/internal/resp/longvalue.go
+++ b/internal/resp/longvalue.go
@@ -14,6 +14,7 @@
 func (r *Reader) StartLongValue() (items, size int) {
 	consumed, items, size := r.longValueHeader()
 	r.start += consumed
+	r.scan = scanner{}
 	return items, size
 }
 
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -46,6 +46,8 @@
 	buffer []byte
 	// start is the index of the first unread byte of the buffer.
 	start int
+	// scan is how far the message that begins there has been scanned.
+	scan scanner
 }
 
 // Next returns the next message. Its bytes are valid until the next call. It returns ErrLongValue, ErrMalformed,
@@ -56,7 +58,7 @@
 		if r.hasLongValue() {
 			return redcon.RESP{}, ErrLongValue
 		}
-		length, err := messageLength(r.buffer[r.start:], maxArrayDepth, maxValue)
+		length, err := r.scan.messageLength(r.buffer[r.start:], maxValue)
 		if err != nil {
 			return redcon.RESP{}, err
 		}
@@ -73,6 +75,7 @@
 func (r *Reader) parse(length int) (redcon.RESP, error) {
 	_, message := redcon.ReadNextRESP(r.buffer[r.start : r.start+length])
 	r.start += length
+	r.scan = scanner{}
 	if message.Type == 0 {
 		return message, ErrMalformed
 	}
@@ -131,6 +134,7 @@
 	}
 	r.buffer = nil
 	r.start = 0
+	r.scan = scanner{}
 }
 
 // Unread returns the bytes that were read from the source and are not part of a returned message. They are valid until
--- a/internal/resp/reader_test.go
+++ b/internal/resp/reader_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"math"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
+
+	"pgregory.net/rapid"
 
 	"gapgap/internal/resourcelimit"
 )
@@ -144,3 +150,61 @@
 		})
 	}
 }
+
+// nestedMessage returns a message of the given number of arrays, each with as many integers as an array may have.
+func nestedMessage(arrays int) string {
+	array := "*64\r\n" + strings.Repeat(":1\r\n", maxArrayItems)
+	return fmt.Sprintf("*%d\r\n%s", arrays, strings.Repeat(array, arrays))
+}
+
+// TestReaderScansEachItemOnce guards against a message that costs more for each byte that arrives, because its items
+// are scanned anew: of twice the bytes, one at a time, the time is about twice as long.
+func TestReaderScansEachItemOnce(t *testing.T) {
+	readAll := func(arrays int) time.Duration {
+		text := nestedMessage(arrays)
+		shortest := time.Duration(math.MaxInt64)
+		for range 7 {
+			reader := &Reader{Source: iotest.OneByteReader(strings.NewReader(text))}
+			began := time.Now()
+			message, err := reader.Next()
+			shortest = min(shortest, time.Since(began))
+			if err != nil || string(message.Raw) != text {
+				t.Fatalf("%d of %d bytes, %v", len(message.Raw), len(text), err)
+			}
+		}
+		return shortest
+	}
+	once, twice := readAll(maxArrayItems/2), readAll(maxArrayItems)
+	if ratio := float64(twice) / float64(once); ratio > 3 {
+		t.Errorf("twice the bytes take %.1f times as long (%v, %v)", ratio, once, twice)
+	}
+}
+
+// TestReaderFindsTheSameMessagesInPieces verifies, for any input and any division into pieces, that the reader finds
+// the same messages and the same error as when all bytes arrive at once.
+func TestReaderFindsTheSameMessagesInPieces(t *testing.T) {
+	pieces := []string{"*2\r\n", "*1\r\n", "*0\r\n", "*-1\r\n", "$1\r\na\r\n", "$-1\r\n", "$3\r\nabc\r\n", ":5\r\n", "+OK\r\n",
+		"-ERR\r\n", "*3\r\n$70000\r\n", "\n", "x"}
+	rapid.Check(t, func(t *rapid.T) {
+		text := strings.Join(rapid.SliceOf(rapid.SampledFrom(pieces)).Draw(t, "pieces"), "")
+		read := func(source io.Reader) (found []string, end error) {
+			reader := &Reader{Source: source, MaxStreamedValue: longValueBytes}
+			for {
+				message, err := reader.Next()
+				if errors.Is(err, ErrLongValue) {
+					reader.StartLongValue()
+					continue
+				}
+				if err != nil {
+					return found, err
+				}
+				found = append(found, string(message.Raw))
+			}
+		}
+		wantFound, wantEnd := read(strings.NewReader(text))
+		found, end := read(iotest.OneByteReader(strings.NewReader(text)))
+		if !slices.Equal(found, wantFound) || !errors.Is(end, wantEnd) {
+			t.Fatalf("%q: in pieces %q and %v, at once %q and %v", text, found, end, wantFound, wantEnd)
+		}
+	})
+}
