--- a/internal/frontend/resp2/request.go
+++ b/internal/frontend/resp2/request.go
@@ -19,6 +19,13 @@
 	"gapgap/internal/socket"
 )
 
+const (
+	// maxListNames is how many names the key=value list of a request may have.
+	maxListNames = 64
+	// maxPrintedBytes is how much of a client's input an error line repeats.
+	maxPrintedBytes = 40
+)
+
 // timeoutTolerance is how far the timeout that a client sends may exceed that of the request's class.
 const timeoutTolerance = time.Second
 
@@ -55,14 +62,15 @@
 	return args, true
 }
 
-// printable replaces the bytes of a client's input that must not appear in an error line.
+// printable returns the beginning of a client's input for an error line. It replaces the bytes that must not appear in
+// one.
 func printable(b []byte) string {
 	return strings.Map(func(r rune) rune {
 		if r < ' ' || r > '~' {
 			return '?'
 		}
 		return r
-	}, string(b))
+	}, string(b[:min(len(b), maxPrintedBytes)]))
 }
 
 // parseRequest parses and validates a request. Nothing is forwarded of a request that it rejects.
@@ -85,6 +93,9 @@
 	var seen [16]string
 	fields := seen[:0]
 	for at, list := 0, string(args[3]); at <= len(list); {
+		if len(fields) == maxListNames {
+			return nil, fmt.Errorf("the list has more than %d names", maxListNames)
+		}
 		item, _, _ := strings.Cut(list[at:], ",")
 		k, v, _ := strings.Cut(item, "=")
 		if slices.Contains(fields, k) { // a backend may use the other value
