Fix: commands that the gateway answers by itself at full speed starve the others

Cause: only invalid commands were paced; PING and other commands that are not submitted were answered without a pause, so 60 reading goroutines shared the one processor with the event loop.

Change: from the 17th such answer in a row on, the connection pauses 5 ms after each. A request ends the row.

--- a/internal/frontend/resp2/client.go
+++ b/internal/frontend/resp2/client.go
@@ -48,6 +48,10 @@
 	maxLingering = 16
 	// invalidCommandDelay is the pause before the next command is read, from the second invalid one in a row on.
 	invalidCommandDelay = 50 * time.Millisecond
+	// maxUnpacedReplies is how many commands in a row the gateway answers by itself before it pauses after each.
+	maxUnpacedReplies = 16
+	// replyDelay is that pause.
+	replyDelay = 5 * time.Millisecond
 	// maxInvalidCommands is the number of invalid commands in a row at which the connection is closed.
 	maxInvalidCommands = 16
 )
@@ -76,6 +80,8 @@
 	hasReadDeadline bool
 	// invalidCommands counts invalid commands in a row.
 	invalidCommands int
+	// replies counts commands in a row that the gateway has answered by itself.
+	replies int
 
 	// pool is that of the last request; nil: there was none. It is used by the reading goroutine only.
 	pool *proxy.Proxy
@@ -305,11 +311,12 @@
 			pool.Release()
 			return false
 		}
+		c.replies = 0
 		pool.CountRequest(&req.Request)
 		pool.Post(func() { pool.Submit(&req.Request) })
 		return true
 	}
-	return c.rejectCommand(fmt.Sprintf("-ERR unknown command '%.40s'\r\n", printable(args[0])))
+	return c.rejectCommand(fmt.Sprintf("-ERR unknown command '%s'\r\n", printable(args[0])))
 }
 
 // readRequest finds the pool of a command and parses its request, on the processor share of the pool of the
@@ -384,11 +391,20 @@
 	return ok
 }
 
-// reply answers a command that is no request, and reports whether the connection goes on.
+// reply answers a command that is not submitted, and reports whether the connection goes on. After maxUnpacedReplies in
+// a row it pauses, as a client that sends such commands at full speed would otherwise take the processor from the other
+// clients.
 func (c *client) reply(line string) bool {
 	s := c.reserveSlot(nil, 0)
 	c.completeSlot(s, []byte(line))
-	return s != nil
+	if s == nil {
+		return false
+	}
+	if c.replies++; c.replies > maxUnpacedReplies {
+		time.Sleep(replyDelay)
+		c.wasPaused = true
+	}
+	return true
 }
 
 // reserveSlot appends a slot for the next answer. It waits while there are too many slots or too many unwritten bytes,
