--- a/internal/resp/reader_test.go
+++ b/internal/resp/reader_test.go
@@ -183,8 +183,8 @@
 // TestReaderFindsTheSameMessagesInPieces verifies, for any input and any division into pieces, that the reader finds
 // the same messages and the same error as when all bytes arrive at once.
 func TestReaderFindsTheSameMessagesInPieces(t *testing.T) {
-	pieces := []string{"*2\r\n", "*1\r\n", "*0\r\n", "*-1\r\n", "$1\r\na\r\n", "$-1\r\n", "$3\r\nabc\r\n", ":5\r\n", "+OK\r\n",
-		"-ERR\r\n", "*3\r\n$70000\r\n", "\n", "x"}
+	pieces := []string{"*2\r\n", "*1\r\n", "*0\r\n", "*-1\r\n", "$1\r\na\r\n", "$-1\r\n", "$3\r\nabc\r\n", ":5\r\n",
+		"+OK\r\n", "-ERR\r\n", "*3\r\n$70000\r\n", "\n", "x"}
 	rapid.Check(t, func(t *rapid.T) {
 		text := strings.Join(rapid.SliceOf(rapid.SampledFrom(pieces)).Draw(t, "pieces"), "")
 		read := func(source io.Reader) (found []string, end error) {
