--- a/internal/frontend/resp2/client.go
+++ b/internal/frontend/resp2/client.go
@@ -1,6 +1,7 @@
 package resp2
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -24,12 +25,11 @@
 const (
 	// maxPipelinedCommands is how many commands of one connection may wait for their answers.
 	maxPipelinedCommands = 256
-	// pauseReadingBytes is the size of unwritten answers above which no further command is read.
+	// pauseReadingBytes is the size of answers that wait for the client above which no further command is read.
 	pauseReadingBytes = 256 << 10
-	// maxUnwrittenBytes is the size of unwritten answers above which the connection is closed.
-	maxUnwrittenBytes = 1 << 20
-	// writeTimeout is how long a client may accept no bytes before its connection is closed.
-	writeTimeout = 5 * time.Second
+	// writeBatchBytes is the size of unwritten answers at which no further answer is added to them before they are
+	// written.
+	writeBatchBytes = 64 << 10
 	// firstCommandTimeout limits the time from connecting to the end of the first command.
 	firstCommandTimeout = 2500 * time.Millisecond
 	// commandTimeout limits the time from the first bytes of a later command to its end.
@@ -62,7 +62,8 @@
 	ready  bool
 	// request is nil for a command that the gateway answers by itself.
 	request *request
-	// reservedBytes are reserved in memory until the command is answered.
+	// reservedBytes are reserved in memory: until the command is answered those of its text and, behind other commands,
+	// those of the longest possible answer, from then on those of its answer.
 	reservedBytes int64
 	memory        *resourcelimit.Bytes
 	// stream forwards a long value to the client; nil: the answer is not streamed.
@@ -97,8 +98,10 @@
 	changed *sync.Cond
 	// slots are in the order of the commands.
 	slots []*slot
-	// unwritten are answers that are ready to be written.
+	// unwritten are answers that are being written, apart from those that writeRemaining holds.
 	unwritten []byte
+	// owedBytes is the size of all answers that are ready and not written, those in slots included.
+	owedBytes int
 	// memory is where unwritten is accounted: in that of the pool of the last request.
 	memory *resourcelimit.Bytes
 	// writing tells that a goroutine is writing to conn.
@@ -247,7 +250,7 @@
 // in this process or has ended.
 func (c *client) handOver() bool {
 	c.mu.Lock()
-	for (len(c.slots) > 0 || len(c.unwritten) > 0 || c.writing) && !c.closed {
+	for !c.owesNothing() && !c.closed {
 		c.changed.Wait()
 	}
 	closed := c.closed
@@ -393,30 +396,33 @@
 
 // reply answers a command that is not submitted, and reports whether the connection goes on. After maxUnpacedReplies in
 // a row it pauses, as a client that sends such commands at full speed would otherwise take the processor from the other
-// clients.
+// clients. Behind an open request no pause is needed, since few answers may wait there.
 func (c *client) reply(line string) bool {
 	s := c.reserveSlot(nil, 0)
 	c.completeSlot(s, []byte(line))
 	if s == nil {
 		return false
 	}
-	if c.replies++; c.replies > maxUnpacedReplies {
+	if c.replies++; c.replies > maxUnpacedReplies && c.idleSince.Load() != 0 {
 		time.Sleep(replyDelay)
 		c.wasPaused = true
 	}
 	return true
 }
 
-// reserveSlot appends a slot for the next answer. It waits while there are too many slots or too many unwritten bytes,
-// and returns nil if the connection has ended. The caller has reserved the memory, which is then released.
+// reserveSlot appends a slot for the next answer. It waits while there are too many slots, while the client does not
+// accept its answers, or while there is no memory for one more answer behind others. It returns nil if the connection
+// has ended. The caller has reserved the memory, which is then released.
 func (c *client) reserveSlot(req *request, reservedBytes int64) *slot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for (len(c.slots) >= maxPipelinedCommands || len(c.unwritten) > pauseReadingBytes) && !c.closed {
+	answerBytes, ok := c.reserveAnswer(req)
+	for ; !ok && !c.closed; answerBytes, ok = c.reserveAnswer(req) {
 		c.wasPaused = true
 		c.changed.Wait()
 		c.lastReadAt = c.front.env.Now() // the request's time starts after the wait for earlier commands
 	}
+	reservedBytes += answerBytes
 	if c.closed {
 		c.memory.Release(reservedBytes)
 		return nil
@@ -427,6 +433,27 @@
 	return s
 }
 
+// reserveAnswer reserves memory for the answer to one more command and reports whether the command may be handled now.
+// An answer has to be kept while earlier ones on its connection are owed, so there is memory for it before the request
+// is forwarded. A connection that owes nothing needs none: each client has one request at a time in any case. Half of
+// the memory is left to what can't wait. Since the earlier commands end in time, a command waits for a bounded time
+// whatever other connections hold. The caller holds mu.
+func (c *client) reserveAnswer(req *request) (reservedBytes int64, ok bool) {
+	isBehind := c.writing && c.owedBytes > pauseReadingBytes
+	switch {
+	case len(c.slots) >= maxPipelinedCommands || isBehind:
+		return 0, false
+	case req == nil || c.owesNothing():
+		return 0, true
+	case !c.memory.TryReserveSpare(resp.MaxValueBytes):
+		return 0, false
+	}
+	return resp.MaxValueBytes, true
+}
+
+// owesNothing reports whether all commands are answered and the answers are written. The caller holds mu.
+func (c *client) owesNothing() bool { return len(c.slots) == 0 && len(c.unwritten) == 0 && !c.writing }
+
 // completeSlot sets the answer of a slot; later calls for the slot have no effect. It writes the leading answers that
 // are ready as far as the socket accepts them at once. A goroutine of its own writes the rest, as a slow client must
 // not block the caller.
@@ -439,7 +466,15 @@
 	if s.ready {
 		return
 	}
+	if c.closed { // cleanUp releases what the slot has reserved
+		s.ready, s.request = true, nil
+		c.changed.Broadcast()
+		return
+	}
 	s.answer, s.ready, s.request = line, true, nil
+	s.memory.Adjust(int64(len(line)) - s.reservedBytes)
+	s.reservedBytes = int64(len(line))
+	c.owedBytes += len(line)
 	if s.stream != nil && s.stream.started {
 		if line != nil { // within a value only the end of the connection can tell of a failure
 			c.close()
@@ -449,58 +484,69 @@
 		c.conn.SetWriteDeadline(time.Time{}) // it would otherwise apply to later answers
 	}
 	c.changed.Broadcast() // wakes the stream of a request that has ended
-	for len(c.slots) > 0 && c.slots[0].ready {
+	if !c.writing {
+		c.writeReady()
+	}
+}
+
+// takeReady moves the leading answers that are ready to unwritten, up to a batch. The others stay in their slots, as
+// copying all of them would take their memory twice. The caller holds mu.
+func (c *client) takeReady() {
+	for len(c.slots) > 0 && c.slots[0].ready && len(c.unwritten) < writeBatchBytes {
 		first := c.slots[0]
-		c.unwritten = append(c.unwritten, first.answer...)
-		first.memory.Release(first.reservedBytes)
-		c.memory.Adjust(int64(len(first.answer)))
+		if len(c.unwritten) == 0 {
+			c.unwritten = first.answer
+		} else {
+			c.unwritten = append(c.unwritten, first.answer...)
+		}
+		if first.memory != c.memory { // the connection has moved to another pool
+			first.memory.Release(first.reservedBytes)
+			c.memory.Adjust(first.reservedBytes)
+		}
 		c.slots[0] = nil
 		c.slots = c.slots[1:]
 		c.changed.Broadcast()
-	}
-	if len(c.slots) == 0 {
-		c.idleSince.Store(int64(c.front.env.Now()))
-	}
-	if len(c.unwritten) > maxUnwrittenBytes || len(c.unwritten) > resp.MaxValueBytes && c.memory.IsExceeded() {
-		c.close()
-	} else if len(c.unwritten) > 0 && !c.writing && !c.closed {
-		c.writeNow()
-	} else {
-		c.shutDownIfIdle()
+		if len(c.slots) == 0 {
+			c.idleSince.Store(int64(c.front.env.Now()))
+		}
 	}
 }
 
-// writeNow writes what the socket accepts without blocking. The caller holds mu.
-func (c *client) writeNow() {
-	n, err := socket.WriteNow(c.conn, c.unwritten)
-	c.memory.Release(int64(n))
-	if c.unwritten = c.unwritten[n:]; len(c.unwritten) == 0 {
-		c.unwritten = nil
-	}
-	switch {
-	case err != nil:
-		c.close()
-	case c.unwritten != nil:
-		c.writing = true
-		go c.writeRemaining()
-	default:
-		c.shutDownIfIdle()
+// writeReady writes the leading answers that are ready, as far as the socket accepts them without blocking. The caller
+// holds mu.
+func (c *client) writeReady() {
+	for c.takeReady(); len(c.unwritten) > 0; c.takeReady() {
+		n, err := socket.WriteNow(c.conn, c.unwritten)
+		c.memory.Release(int64(n))
+		c.owedBytes -= n
+		c.unwritten = c.unwritten[n:]
+		if err != nil {
+			c.close()
+			return
+		}
+		if len(c.unwritten) > 0 {
+			c.writing = true
+			go c.writeRemaining()
+			return
+		}
 	}
+	c.unwritten = nil
+	c.shutDownIfIdle()
 }
 
 // writeRemaining writes until no answers are left. It runs in a goroutine of its own.
 func (c *client) writeRemaining() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.unwritten) > 0 && !c.closed {
+	for c.takeReady(); len(c.unwritten) > 0 && !c.closed; c.takeReady() {
 		out, mem := c.unwritten, c.memory
 		c.unwritten = nil
 		c.changed.Broadcast()
 		c.mu.Unlock()
-		c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		_, err := c.conn.Write(out)
+		err := c.write(out)
 		c.mu.Lock()
 		mem.Release(int64(len(out)))
+		c.owedBytes -= len(out)
 		if err != nil {
 			c.close()
 		}
@@ -511,6 +557,25 @@
 	c.shutDownIfIdle()
 }
 
+// write writes to the connection for as long as the client accepts bytes. It blocks. The caller has exclusive use of
+// the write side.
+func (c *client) write(b []byte) error {
+	timeout := cmp.Or(c.front.cfg.WriteTimeout, defaultWriteTimeout)
+	for {
+		queued := socket.SendQueue(c.conn)
+		c.conn.SetWriteDeadline(time.Now().Add(timeout))
+		n, err := c.conn.Write(b)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		// The system accepts more only when a good part of its send queue is free, which takes a slow reader long.
+		if n == 0 && socket.SendQueue(c.conn) >= queued {
+			return err
+		}
+		b = b[n:]
+	}
+}
+
 // rejectAndClose answers input that can't be read with an error line, and ends the connection after the answers to
 // earlier commands. Closing it while the client still sends would discard the error line, so input is read for a while.
 func (c *client) rejectAndClose(line string) {
@@ -585,9 +650,7 @@
 }
 
 // isIdle reports whether all that was read is answered and the answers are written. The caller holds mu.
-func (c *client) isIdle() bool {
-	return len(c.slots) == 0 && len(c.unwritten) == 0 && !c.writing && !c.hasUnparsedBytes
-}
+func (c *client) isIdle() bool { return c.owesNothing() && !c.hasUnparsedBytes }
 
 // shutDownIfIdle ends a connection that is to end once no answer is owed on it. It closes the write side first, and the
 // connection when the client has closed its side or the linger timeout has passed: closing a socket with unread bytes
--- a/internal/frontend/resp2/front.go
+++ b/internal/frontend/resp2/front.go
@@ -23,6 +23,9 @@
 // acceptQueueDrainTime is how long connections are still accepted from the queue of a listener that is being closed.
 const acceptQueueDrainTime = 10 * time.Millisecond
 
+// defaultWriteTimeout is the default of Config.WriteTimeout.
+const defaultWriteTimeout = 5 * time.Second
+
 // capacityRetryAfter is the retry delay sent to a client that is rejected for lack of connections or memory.
 const capacityRetryAfter = 100 * time.Millisecond
 
@@ -30,9 +33,8 @@
 type Config struct {
 	// Listener is the listener's name in routes.
 	Listener string
-	// StreamWriteTimeout is how long a client may accept no bytes of a long value before its connection is closed;
-	// 0: 5 s.
-	StreamWriteTimeout time.Duration
+	// WriteTimeout is how long a client may accept no bytes of its answers before its connection is closed; 0: 5 s.
+	WriteTimeout time.Duration
 	// Routes tells that requests are routed by their class, customer and host; otherwise all go to one pool.
 	Routes bool
 	// Accounts returns the account of a customer. If it or its result is nil, the plan and the number of gateways of
--- a/internal/frontend/resp2/stream.go
+++ b/internal/frontend/resp2/stream.go
@@ -1,16 +1,11 @@
 package resp2
 
 import (
-	"cmp"
 	"errors"
-	"time"
 
 	"gapgap/internal/upstream"
 )
 
-// defaultStallTimeout is how long a client may take to accept a part of a long value, which has 32 KiB at most.
-const defaultStallTimeout = 5 * time.Second
-
 // errClientGone is returned by Write when the value can no longer be delivered.
 var errClientGone = errors.New("the client has disconnected or its request has ended")
 
@@ -37,9 +32,7 @@
 	if !st.waitForTurn() {
 		return errClientGone
 	}
-	st.client.conn.SetWriteDeadline(time.Now().Add(cmp.Or(st.client.front.cfg.StreamWriteTimeout, defaultStallTimeout)))
-	_, err := st.client.conn.Write(b)
-	return err
+	return st.client.write(b)
 }
 
 // waitForTurn waits until all earlier answers are written. It returns false if the client has disconnected or the
--- a/internal/resourcelimit/allotment.go
+++ b/internal/resourcelimit/allotment.go
@@ -1,5 +1,7 @@
 package resourcelimit
 
+import "cmp"
+
 // Allotment is the part of a SharedLimit that belongs to one participant, such as a pool. It is safe for concurrent
 // use.
 type Allotment struct {
@@ -61,6 +63,19 @@
 	return reserved
 }
 
+// TryReserveSpare is like TryReserve for what can wait: it leaves half of the guarantee free, or half of the total if
+// there is no guarantee, and asks nobody to release units.
+func (a *Allotment) TryReserveSpare(n int64) bool {
+	a.shared.mu.Lock()
+	defer a.shared.mu.Unlock()
+	spare := cmp.Or(a.guarantee, a.shared.total) / spareDivisor
+	if !a.shared.canReserve(a, n+spare) {
+		return false
+	}
+	a.adjustLocked(n)
+	return true
+}
+
 // reserveOrReclaim reserves n units. If it cannot, it returns the reclaim function of the largest borrower, unless that
 // is a itself or has none. The caller must call the function without holding mu.
 func (a *Allotment) reserveOrReclaim(n int64) (reserved bool, reclaim func(int64)) {
@@ -100,14 +115,6 @@
 	a.shared.unusedGuarantees += a.unusedGuarantee() - before
 }
 
-// IsExceeded reports whether the shared total is exceeded and this allotment holds more than its guarantee. If so, its
-// holder must not call Adjust with a positive number.
-func (a *Allotment) IsExceeded() bool {
-	a.shared.mu.Lock()
-	defer a.shared.mu.Unlock()
-	return a.shared.held > a.shared.total && a.held > a.guarantee
-}
-
 // Held returns the number of units held.
 func (a *Allotment) Held() int64 {
 	a.shared.mu.Lock()
--- a/internal/resourcelimit/bytes.go
+++ b/internal/resourcelimit/bytes.go
@@ -34,6 +34,26 @@
 	return true
 }
 
+// spareDivisor determines the part of a limit that TryReserveSpare leaves free: one in so many.
+const spareDivisor = 2
+
+// TryReserveSpare is like TryReserve for what can wait: it leaves half of the limit free for others. For a shared limit
+// see [Allotment.TryReserveSpare].
+func (b *Bytes) TryReserveSpare(n int64) bool {
+	if b.allotment != nil {
+		return b.allotment.TryReserveSpare(n)
+	}
+	for {
+		held := b.held.Load()
+		if held+n > b.limit-b.limit/spareDivisor {
+			return false
+		}
+		if b.held.CompareAndSwap(held, held+n) {
+			return true
+		}
+	}
+}
+
 // Adjust adds n bytes to those held, regardless of the limit. A negative n releases bytes.
 func (b *Bytes) Adjust(n int64) {
 	if b.allotment != nil {
@@ -48,14 +68,6 @@
 	b.Adjust(-n)
 }
 
-// IsExceeded reports whether more bytes are held than the limit allows. For a shared limit see [Allotment.IsExceeded].
-func (b *Bytes) IsExceeded() bool {
-	if b.allotment != nil {
-		return b.allotment.IsExceeded()
-	}
-	return b.held.Load() > b.limit
-}
-
 // Held returns the number of bytes held.
 func (b *Bytes) Held() int64 {
 	if b.allotment != nil {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -197,7 +197,7 @@
 // returns. It takes operators' commands at the admin listener, which may be nil.
 func (g *Gateway) Serve(ctx context.Context, ln, adminListener net.Listener) {
 	g.log.Info("serving", "listen", ln.Addr(), "backends", len(g.cfg.KnownEndpoints.Endpoints))
-	clients := resp2.New(g.env, resp2.Config{StreamWriteTimeout: g.cfg.StallTimeout}, ln, g.log)
+	clients := resp2.New(g.env, resp2.Config{WriteTimeout: g.cfg.StallTimeout}, ln, g.log)
 	if adminListener != nil {
 		background, stop := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -85,6 +85,26 @@
 	return err != nil || closed
 }
 
+// SendQueue returns how many bytes the system still keeps for the peer, which has not accepted them. It may be called
+// while another goroutine writes. It returns 0 if the connection is no system socket or the number is not known.
+func SendQueue(conn net.Conn) int {
+	raw, err := rawConn(conn)
+	if raw == nil || err != nil {
+		return 0
+	}
+	queued := 0
+	err = raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		if err == nil {
+			queued = n
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return queued
+}
+
 // rawConn returns the raw connection of a system socket, or nil for any other connection.
 func rawConn(conn net.Conn) (syscall.RawConn, error) {
 	socket, ok := conn.(syscall.Conn)
