--- a/internal/frontend/resp2/request_test.go
+++ b/internal/frontend/resp2/request_test.go
@@ -37,7 +37,7 @@
 	return &Frontend{}, pool
 }
 
-// listWith returns the key=value list of a valid request with so many names. Those it adds are unknown and equally long.
+// listWith returns the key=value list of a valid request with so many names. Those that it adds are unknown.
 func listWith(names, nameBytes int) []byte {
 	list := []byte(peer.List)
 	for n := bytes.Count(list, []byte{'='}); n < names; n++ {
