--- a/internal/service/attempts_test.go
+++ b/internal/service/attempts_test.go
@@ -20,7 +20,7 @@
 	b.NC.Close()
 	b = peer.Accept(t, ln)
 	b.Message()
-	b.Write("*3\r\n" + peer.Bulk("done") + "$-1\r\n$-1\r\n")
+	b.Write(peer.Answer("done"))
 	c.Wants("done")
 }
 
@@ -63,12 +63,12 @@
 	c.Command("Q.ASK", peer.Customer, "1", peer.List)
 	b := peer.Accept(t, ln)
 	b.Message()
-	b.Write("*3\r\n" + peer.Bulk("one") + "$-1\r\n$-1\r\n*3\r\n" + peer.Bulk("stray") + "$-1\r\n$-1\r\n")
+	b.Write(peer.Answer("one") + peer.Answer("stray"))
 	c.Wants("one")
 	b.WantsEnd()
 	c.Command("Q.ASK", peer.Customer, "2", peer.List)
 	b = peer.Accept(t, ln)
 	b.Message()
-	b.Write("*3\r\n" + peer.Bulk("two") + "$-1\r\n$-1\r\n")
+	b.Write(peer.Answer("two"))
 	c.Wants("two")
 }
--- a/internal/service/clients_test.go
+++ b/internal/service/clients_test.go
@@ -64,8 +64,8 @@
 	c.Command("PING")
 	second := peer.Accept(t, ln) // not queued behind the first
 	second.Message()
-	second.Write("*3\r\n" + peer.Bulk("two") + "$-1\r\n$-1\r\n")
-	first.Write("*3\r\n" + peer.Bulk("one") + "$-1\r\n$-1\r\n")
+	second.Write(peer.Answer("two"))
+	first.Write(peer.Answer("one"))
 	c.Wants("one")
 	c.Wants("two")
 	c.Wants("+PONG")
--- a/internal/service/flood_test.go
+++ b/internal/service/flood_test.go
@@ -27,7 +27,7 @@
 	c.Command("Q.ASK", peer.Customer, "1", peer.List)
 	b := peer.Accept(t, ln)
 	b.Message()
-	b.Write("*3\r\n" + peer.Bulk("one") + "$-1\r\n$-1\r\n")
+	b.Write(peer.Answer("one"))
 	c.Wants("one")
 	pings(unpaced) // the request has ended the row
 	const more = 60
--- a/internal/service/long_test.go
+++ b/internal/service/long_test.go
@@ -50,7 +50,7 @@
 	for id := range 2 {
 		c.Command("Q.ASK", peer.Customer, fmt.Sprint("again", id), peer.List)
 		b.Message() // on the same connection
-		b.Write("*3\r\n" + peer.Bulk("short") + "$-1\r\n$-1\r\n")
+		b.Write(peer.Answer("short"))
 		c.Wants("short")
 	}
 	if n := env.gateway.Stats.Class("evaluate").Count(0); n != 3 {
@@ -73,7 +73,7 @@
 	c.Command("PING")
 	go second.NC.Write([]byte(longResponse(200 << 10)))
 	time.Sleep(20 * time.Millisecond)
-	first.Write("*3\r\n" + peer.Bulk("one") + "$-1\r\n$-1\r\n")
+	first.Write(peer.Answer("one"))
 	c.Wants("one")
 	if m := c.Message(); len(m) != 1 || len(m[0]) != 200<<10 {
 		t.Errorf("%d items", len(m))
@@ -112,7 +112,7 @@
 			if m := again.Message(); m[2] != "2" {
 				t.Errorf("request %q was sent instead of the other client's", m)
 			}
-			again.Write("*3\r\n" + peer.Bulk("short") + "$-1\r\n$-1\r\n")
+			again.Write(peer.Answer("short"))
 			other.Wants("short")
 			if n := env.gateway.Stats.Class("evaluate").Count(2); n != 1 {
 				t.Errorf("%d counted as failed", n)
@@ -125,8 +125,8 @@
 // reports the id of each request before it answers.
 func serveLongValues(t *testing.T, ln net.Listener) <-chan string {
 	received := make(chan string, 64)
-	long, short := longResponse(longSize*4/3), "*3\r\n"+peer.Bulk("short")+"$-1\r\n$-1\r\n"
-	serveEndpoint(t, ln, func(id string) string {
+	long, short := longResponse(longSize*4/3), peer.Answer("short")
+	peer.Serve(t, ln, func(id string) string {
 		received <- id
 		if strings.HasPrefix(id, "long") {
 			return long
--- a/internal/service/longtail_test.go
+++ b/internal/service/longtail_test.go
@@ -45,7 +45,7 @@
 			if m := c.Message(); len(m[0]) != size {
 				t.Fatalf("a value of %d bytes", len(m[0]))
 			}
-			sound.Write("*3\r\n" + peer.Bulk("two") + "$-1\r\n$-1\r\n")
+			sound.Write(peer.Answer("two"))
 			c.Wants("two")
 			spoilt.WantsEnd()
 			if name == "a shutdown" {
@@ -66,11 +66,11 @@
 	const sockets = 128
 	ln := peer.Listen(t)
 	env := start(t, []string{ln.Addr().String()}, func(c *Config, _ *testing.T) { c.Sockets = sockets })
-	serveEndpoint(t, ln, func(id string) string {
+	peer.Serve(t, ln, func(id string) string {
 		if strings.HasPrefix(id, "spoilt") {
 			return valueWithoutEnd(70 << 10)
 		}
-		return "*3\r\n" + peer.Bulk("sound") + "$-1\r\n$-1\r\n"
+		return peer.Answer("sound")
 	})
 	for i := range BackendSockets(sockets) + 1 {
 		c := env.dial()
--- a/internal/service/maintenance_test.go
+++ b/internal/service/maintenance_test.go
@@ -62,7 +62,7 @@
 					if _, err := p.Try(); err != nil {
 						return
 					}
-					io.WriteString(nc, "*3\r\n"+peer.Bulk(name)+"$-1\r\n$-1\r\n")
+					io.WriteString(nc, peer.Answer(name))
 				}
 			}()
 		}
--- a/internal/service/pipeline_test.go
+++ b/internal/service/pipeline_test.go
@@ -28,7 +28,7 @@
 func startHeldEndpoint(t *testing.T, size int) *heldEndpoint {
 	ln := peer.Listen(t)
 	e := &heldEndpoint{addr: ln.Addr().String(), size: size, release: make(chan struct{}), received: map[string]int{}}
-	serveEndpoint(t, ln, e.answer)
+	peer.Serve(t, ln, e.answer)
 	return e
 }
 
@@ -45,7 +45,7 @@
 	if strings.HasPrefix(id, "slow") {
 		<-e.release
 	}
-	return "*3\r\n" + peer.Bulk(e.value(id)) + "$-1\r\n$-1\r\n"
+	return peer.Answer(e.value(id))
 }
 
 // count returns how many requests have been received.
--- a/internal/service/reload_test.go
+++ b/internal/service/reload_test.go
@@ -143,7 +143,7 @@
 	if m := third.Message(); m[2] != "1" {
 		t.Errorf("%q", m)
 	}
-	third.Write("*3\r\n" + peer.Bulk("one") + "$-1\r\n$-1\r\n")
+	third.Write(peer.Answer("one"))
 	c.Wants("one")
 	var statistics strings.Builder
 	env.gateway.Stats.Write(&statistics)
