Fix: answers of endpoints are thrown away when the memory for receiving them is full

Callers saw -ERR failed, or a second run of a request that may be repeated, though the endpoint had answered.

Cause: resp.Reader returns ErrNoMemory when the limit has no bytes left, and the connection's reader ended as for a malformed answer, so sound endpoints were taken for faulty ones, too.

An answer now waits for memory (Bytes.Reserve, in the order of the calls) and leaves its bytes to the system's buffers. It reserves all that it declares in one call, before it holds any, so answers that wait cannot keep each other waiting. The wait ends with the attempt. TryReserve no longer exceeds the limit for a moment, as a waiter could miss its turn by that. Clients' commands are rejected as before.

--- a/internal/resourcelimit/bytes.go
+++ b/internal/resourcelimit/bytes.go
@@ -10,6 +10,8 @@
 	held atomic.Int64
 	// allotment accounts for the bytes in a SharedLimit; nil means that the limit is not shared.
 	allotment *Allotment
+	// queue holds the calls of Reserve that wait.
+	queue waitQueue
 }
 
 // NewBytes returns a limit of that many bytes.
@@ -27,11 +29,7 @@
 	if b.allotment != nil {
 		return b.allotment.TryReserve(n)
 	}
-	if b.held.Add(n) > b.limit {
-		b.held.Add(-n)
-		return false
-	}
-	return true
+	return b.reserveWithin(n, b.limit)
 }
 
 // spareDivisor determines the part of a limit that TryReserveSpare leaves free: one in so many.
@@ -43,9 +41,15 @@
 	if b.allotment != nil {
 		return b.allotment.TryReserveSpare(n)
 	}
+	return b.reserveWithin(n, b.limit-b.limit/spareDivisor)
+}
+
+// reserveWithin reserves n bytes if no more than limit are held then. It never holds more in between, so that a call
+// that fails does not make another one fail.
+func (b *Bytes) reserveWithin(n, limit int64) bool {
 	for {
 		held := b.held.Load()
-		if held+n > b.limit-b.limit/spareDivisor {
+		if held+n > limit {
 			return false
 		}
 		if b.held.CompareAndSwap(held, held+n) {
@@ -56,6 +60,14 @@
 
 // Adjust adds n bytes to those held, regardless of the limit. A negative n releases bytes.
 func (b *Bytes) Adjust(n int64) {
+	b.adjust(n)
+	if n < 0 {
+		b.grant()
+	}
+}
+
+// adjust is like Adjust, but leaves those that wait waiting.
+func (b *Bytes) adjust(n int64) {
 	if b.allotment != nil {
 		b.allotment.Adjust(n)
 		return
--- a/internal/resp/framing.go
+++ b/internal/resp/framing.go
@@ -55,6 +55,24 @@
 	return 0, nil
 }
 
+// declaredLength returns the bytes of the message in b up to the end of the item that is not complete, as far as its
+// size is known. messageLength has been called with b.
+func (s *scanner) declaredLength(b []byte) int {
+	item := b[s.end:]
+	if len(item) == 0 || item[0] != redcon.Bulk {
+		return len(b)
+	}
+	header, err := lineLength(item)
+	if header == 0 || err != nil {
+		return len(b)
+	}
+	size, err := strconv.Atoi(string(item[1 : header-lineEndBytes]))
+	if err != nil {
+		return len(b)
+	}
+	return s.end + header + size + lineEndBytes
+}
+
 // completeItem counts a complete item, and the arrays that it completes. It reports whether the message is complete.
 func (s *scanner) completeItem() bool {
 	for s.depth > 0 {
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -37,6 +37,11 @@
 	Source io.Reader
 	// Memory limits the buffer bytes beyond the default buffer size; nil means no limit.
 	Memory *resourcelimit.Bytes
+	// WaitForMemory, if not nil, reserves bytes of Memory for a message longer than the default buffer. It may block until
+	// they are available. The buffer then gets the size that the message declares at once, so that no message waits for
+	// memory while it holds some. If it is nil, such a message is not read beyond the limit (ErrNoMemory), and the buffer
+	// grows with the bytes that have come, as the source may declare more than it sends.
+	WaitForMemory func(n int64) error
 	// MaxValue is the limit on the bytes of a value; 0 means MaxValueBytes.
 	MaxValue int
 	// MaxStreamedValue is the limit on the bytes of a value longer than MaxValue that an array may begin with; 0 means
@@ -51,7 +56,7 @@
 }
 
 // Next returns the next message. Its bytes are valid until the next call. It returns ErrLongValue, ErrMalformed,
-// ErrNoMemory or an error of the source.
+// ErrNoMemory, or an error of the source or of WaitForMemory.
 func (r *Reader) Next() (redcon.RESP, error) {
 	maxValue := cmp.Or(r.MaxValue, MaxValueBytes)
 	for {
@@ -109,15 +114,37 @@
 	case len(r.buffer) >= maxMessage:
 		return ErrMalformed
 	case len(r.buffer) == cap(r.buffer):
-		size := min(2*cap(r.buffer), maxMessage)
-		if r.Memory != nil && !r.Memory.TryReserve(int64(size-cap(r.buffer))) {
-			return ErrNoMemory
+		size := r.nextSize(maxMessage)
+		if err := r.reserve(int64(size - cap(r.buffer))); err != nil {
+			return err
 		}
 		r.buffer = append(make([]byte, 0, size), r.buffer...)
 	}
 	return nil
 }
 
+// nextSize returns the size to which a full buffer grows.
+func (r *Reader) nextSize(maxMessage int) int {
+	size := 2 * cap(r.buffer)
+	if r.WaitForMemory != nil {
+		size = max(size, r.scan.declaredLength(r.buffer)+maxOverheadBytes)
+	}
+	return min(size, maxMessage)
+}
+
+// reserve reserves memory for n more bytes of the buffer. It waits only if the buffer holds none yet.
+func (r *Reader) reserve(n int64) error {
+	switch {
+	case r.Memory == nil:
+		return nil
+	case r.WaitForMemory != nil && cap(r.buffer) <= defaultBufferBytes:
+		return r.WaitForMemory(n)
+	case r.Memory.TryReserve(n):
+		return nil
+	}
+	return ErrNoMemory
+}
+
 // SetMemory changes the memory limit and moves the bytes that the buffer has reserved to the new one.
 func (r *Reader) SetMemory(to *resourcelimit.Bytes) {
 	if n := int64(cap(r.buffer) - defaultBufferBytes); n > 0 && r.Memory != to {
--- a/internal/resp/reader_test.go
+++ b/internal/resp/reader_test.go
@@ -209,3 +209,38 @@
 		}
 	})
 }
+
+// TestReaderWaitsOnceForAMessage guards against readers that wait for memory while they hold some, which can wait for
+// each other: however its bytes arrive, a message longer than the default buffer reserves all it needs in one call.
+func TestReaderWaitsOnceForAMessage(t *testing.T) {
+	for _, size := range []int{defaultBufferBytes - 100, defaultBufferBytes, 10_000, MaxValueBytes - 1, MaxValueBytes} {
+		text := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$7\r\nused=37\r\n$-1\r\n", size, strings.Repeat("v", size))
+		for name, source := range map[string]io.Reader{
+			"at once":          strings.NewReader(text),
+			"in halves":        iotest.HalfReader(strings.NewReader(text)),
+			"a byte at a time": iotest.OneByteReader(strings.NewReader(text)),
+		} {
+			t.Run(fmt.Sprint(size, " ", name), func(t *testing.T) {
+				memory, calls := resourcelimit.NewBytes(maxOverheadBytes+MaxValueBytes), 0
+				reader := &Reader{Source: source, Memory: memory, WaitForMemory: func(n int64) error {
+					calls++
+					return memory.Reserve(t.Context(), n)
+				}}
+				message, err := reader.Next()
+				if err != nil || string(message.Raw) != text {
+					t.Fatalf("%d of %d bytes, %v", len(message.Raw), len(text), err)
+				}
+				if want := min(1, len(text)/(defaultBufferBytes+1)); calls != want {
+					t.Errorf("memory was reserved in %d calls, want %d", calls, want)
+				}
+				if held := memory.Held(); held > int64(len(text)+maxOverheadBytes) {
+					t.Errorf("%d bytes are reserved for a message of %d", held, len(text))
+				}
+				reader.Release()
+				if held := memory.Held(); held != 0 {
+					t.Errorf("%d bytes are still reserved", held)
+				}
+			})
+		}
+	}
+}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -38,8 +38,9 @@
 	generation int
 	limit      *resourcelimit.EndpointLimit
 	// netConn is nil while the connection is being dialled.
-	netConn    net.Conn
-	cancelDial context.CancelFunc
+	netConn net.Conn
+	// cancel ends dialling and the wait for memory.
+	cancel context.CancelFunc
 
 	// attempt and healthCheck are what the connection carries. Both are nil while it is idle.
 	attempt     *Attempt
@@ -101,8 +102,8 @@
 	if !p.reserveConnection(ep) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.DialTimeout)
-	c := &connection{pool: p, endpoint: ep, generation: ep.generation, cancelDial: cancel, limit: ep.limit}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &connection{pool: p, endpoint: ep, generation: ep.generation, cancel: cancel, limit: ep.limit}
 	p.connections++
 	ep.connections[c] = true
 	go c.run(ctx, ep.address)
@@ -126,7 +127,7 @@
 	if c.netConn != nil {
 		closeSocket(c.netConn)
 	}
-	c.cancelDial()
+	c.cancel()
 }
 
 // closeSocket closes a socket. A close error affects only data of a connection that is no longer used, so it is
@@ -150,7 +151,8 @@
 	p.forgetIfUnused(c.endpoint)
 }
 
-// run dials and then reads answers until the connection ends. It is the reader goroutine of the connection.
+// run dials and then reads answers until the connection ends or ctx is done. It is the reader goroutine of the
+// connection.
 func (c *connection) run(ctx context.Context, address string) {
 	netConn, err := c.dial(ctx, address)
 	if err != nil {
@@ -162,6 +164,7 @@
 		Source:           answerReader{connection: c, netConn: netConn},
 		MaxStreamedValue: maxValueBytes,
 		Memory:           c.pool.cfg.ValueMemory,
+		WaitForMemory:    func(n int64) error { return c.pool.cfg.ValueMemory.Reserve(ctx, n) },
 	}
 	defer c.reader.Release()
 	for {
@@ -178,6 +181,8 @@
 
 // dial connects to an address and writes a trace line.
 func (c *connection) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.pool.cfg.DialTimeout)
+	defer cancel()
 	began := c.pool.loop.Now()
 	netConn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if c.pool.cfg.Trace.Enabled() {
