Fix: long values read by slow clients leave no memory for receiving other answers

Pieces of 32 KiB of long values are reserved from the memory for receiving answers and are held for as long as the client takes to read, a minute and more.

--- a/internal/upstream/longvalue.go
+++ b/internal/upstream/longvalue.go
@@ -36,7 +36,7 @@
 	memory := c.pool.cfg.ValueMemory
 	switch {
 	case memory == nil:
-	case memory.TryReserve(chunk):
+	case memory.TryReserveSpare(chunk): // the other half is left to answers that are kept whole
 		defer memory.Release(chunk)
 	default:
 		chunk = minLongChunkBytes
--- a/internal/upstream/valuememory_test.go
+++ b/internal/upstream/valuememory_test.go
@@ -119,3 +119,26 @@
 	peer.Pump(t, h.Loop, func() bool { return len(h.outcomes) > 0 })
 	wantOutcome(t, h, balancer.OK)
 }
+
+// TestLongValuesLeaveMemoryToOthers guards against long values, which may take as long as their clients read, that
+// leave no memory for receiving other answers.
+func TestLongValuesLeaveMemoryToOthers(t *testing.T) {
+	ln := peer.Listen(t)
+	h := newHarness(t, ln.Addr().String())
+	memory := resourcelimit.NewBytes(6 * longChunkBytes)
+	h.pool.cfg.ValueMemory = memory
+	h.pool.cfg.StallTimeout = peer.Patient
+	for range 8 {
+		h.sink = &recordingSink{}
+		sendAttempt(t, h)
+		b := peer.Accept(t, ln)
+		go func() {
+			_, _ = b.Try()
+			_, _ = b.NC.Write([]byte(tailHead()[:tailSize/2]))
+		}()
+		sink := h.sink
+		peer.Pump(t, h.Loop, func() bool { return len(sink.text()) > longChunkBytes })
+	}
+	sendAttempt(t, h)
+	serveBuffered(t, h, ln)
+}
