--- a/internal/resourcelimit/wait.go
+++ b/internal/resourcelimit/wait.go
@@ -24,9 +24,9 @@
 }
 
 // Reserve reserves n bytes. If the limit does not allow it, Reserve blocks until others have released enough bytes or
-// ctx is done; in the latter case it reserves nothing and returns the context's error. Waiting calls are served in their
-// order. More bytes than the limit are reserved once no others are held. Of a shared limit, only bytes that the same
-// allotment releases end the wait.
+// ctx is done; in the latter case it reserves nothing and returns the context's error. Waiting calls are served in
+// their order. More bytes than the limit are reserved once no others are held. Of a shared limit, only bytes that the
+// same allotment releases end the wait.
 func (b *Bytes) Reserve(ctx context.Context, n int64) error {
 	w := &waiter{bytes: n, granted: make(chan struct{})}
 	q := &b.queue
--- a/internal/resourcelimit/wait_test.go
+++ b/internal/resourcelimit/wait_test.go
@@ -39,7 +39,7 @@
 	waitForWaiting(t, b, 3)
 	b.Release(60)
 	if b.Waiting() != 3 || b.Held() != 40 {
-		t.Fatalf("%d calls wait and %d bytes are held after a release that is too small for the first", b.Waiting(), b.Held())
+		t.Fatalf("%d calls wait and %d bytes are held after a release that is too small", b.Waiting(), b.Held())
 	}
 	giveUp()
 	if err := <-results; !errors.Is(err, context.Canceled) {
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -37,10 +37,10 @@
 	Source io.Reader
 	// Memory limits the buffer bytes beyond the default buffer size; nil means no limit.
 	Memory *resourcelimit.Bytes
-	// WaitForMemory, if not nil, reserves bytes of Memory for a message longer than the default buffer. It may block until
-	// they are available. The buffer then gets the size that the message declares at once, so that no message waits for
-	// memory while it holds some. If it is nil, such a message is not read beyond the limit (ErrNoMemory), and the buffer
-	// grows with the bytes that have come, as the source may declare more than it sends.
+	// WaitForMemory, if not nil, reserves bytes of Memory for a message longer than the default buffer. It may block
+	// until they are available. The buffer then gets the size that the message declares at once, so that no message
+	// waits for memory while it holds some. If it is nil, such a message is not read beyond the limit (ErrNoMemory),
+	// and the buffer grows with the bytes that have come, as the source may declare more than it sends.
 	WaitForMemory func(n int64) error
 	// MaxValue is the limit on the bytes of a value; 0 means MaxValueBytes.
 	MaxValue int
--- a/internal/upstream/valuememory_test.go
+++ b/internal/upstream/valuememory_test.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// TestAnswersWaitForMemory guards against answers that are thrown away, and endpoints that are taken for faulty, because
-// the memory for receiving answers is used up by others: each answer must be received, whatever its pieces.
+// TestAnswersWaitForMemory guards against answers that are thrown away, and endpoints that are taken for faulty,
+// because the memory for receiving answers is used up by others: each answer must be received, whatever its pieces.
 func TestAnswersWaitForMemory(t *testing.T) {
 	const attempts = 20
 	for name, firstPiece := range map[string]int{
