Fix: what follows a long value may wait for memory beyond its second

Found by reading: after a long value the attempt's deadline no longer applies, and the wait for memory did not know the second for which the rest of the answer is awaited. An endpoint that announces 60 KiB of usage figures while others hold the memory kept its attempt open for as long as they did (TestUsageFiguresDoNotWaitForMemoryForGood: no result within 20 s).

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -164,7 +164,7 @@
 		Source:           answerReader{connection: c, netConn: netConn},
 		MaxStreamedValue: maxValueBytes,
 		Memory:           c.pool.cfg.ValueMemory,
-		WaitForMemory:    func(n int64) error { return c.pool.cfg.ValueMemory.Reserve(ctx, n) },
+		WaitForMemory:    func(n int64) error { return c.waitForMemory(ctx, n) },
 	}
 	defer c.reader.Release()
 	for {
@@ -179,6 +179,17 @@
 	}
 }
 
+// waitForMemory reserves memory for an answer. It blocks until there is enough, ctx is done, or what follows a long
+// value is awaited no longer.
+func (c *connection) waitForMemory(ctx context.Context, n int64) error {
+	if !c.usageDeadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, c.usageDeadline)
+		defer cancel()
+	}
+	return c.pool.cfg.ValueMemory.Reserve(ctx, n)
+}
+
 // dial connects to an address and writes a trace line.
 func (c *connection) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.pool.cfg.DialTimeout)
--- a/internal/upstream/valuememory_test.go
+++ b/internal/upstream/valuememory_test.go
@@ -142,3 +142,18 @@
 	sendAttempt(t, h)
 	serveBuffered(t, h, ln)
 }
+
+// TestUsageFiguresDoNotWaitForMemoryForGood guards against an attempt that never ends, as its deadline no longer
+// applies after its long value and what follows the value waits for memory that others hold.
+func TestUsageFiguresDoNotWaitForMemoryForGood(t *testing.T) {
+	h, b := startTail(t, 50*time.Millisecond)
+	memory := h.pool.cfg.ValueMemory
+	const byOthers = 1 << 20
+	memory.Adjust(byOthers)
+	go func() { _, _ = fmt.Fprintf(b.NC, "$%d\r\n%s", bufferedSize, strings.Repeat("u", bufferedSize/2)) }()
+	peer.Pump(t, h.Loop, func() bool { return len(h.outcomes) > 0 })
+	wantOutcome(t, h, balancer.OK)
+	b.WantsEnd()
+	memory.Release(byOthers)
+	wantsMemoryReleased(t, memory)
+}
