--- a/internal/service/hosted/forwardauth_conn_test.go
+++ b/internal/service/hosted/forwardauth_conn_test.go
@@ -387,3 +387,44 @@
 		})
 	}
 }
+
+// TestForwardAuthProxyThatReadsNothing guards against a connection that stays for good because its proxy sends checks
+// and reads none of their answers: it is closed once it has accepted nothing for the idle timeout.
+func TestForwardAuthProxyThatReadsNothing(t *testing.T) {
+	w := startEnv(t, 1, `header_timeout = "2s"`, "header_timeout = \"2s\"\nidle_timeout = \"500ms\"")
+	d := w.gateways[0]
+	proxy := peer.Dial(t, d.Addr("http").String())
+	check := "GET /traefik HTTP/1.1\r\nHost: checks\r\nAuthorization: Bearer key-free\r\n\r\n"
+	closed := make(chan error, 1)
+	go func() {
+		for {
+			if _, err := io.WriteString(proxy.NC, strings.Repeat(check, 100)); err != nil {
+				closed <- err
+				return
+			}
+		}
+	}()
+	asked, served := 0, 0
+	for ended := false; !ended; time.Sleep(10 * time.Millisecond) {
+		select {
+		case err := <-closed:
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Fatalf("the connection is still open after %v", peer.Patient)
+			}
+			ended = true
+		default:
+		}
+		asked++
+		if code, _, _ := mustCheck(t, newClient(), d.http+"/traefik", bearer("free")...); code == 200 {
+			served++
+		}
+	}
+	if served < asked/2 { // the flood takes the processor, too
+		t.Errorf("%d of %d checks of another proxy were served", served, asked)
+	}
+	for limit := time.Now().Add(peer.Patient); d.Memory.Held() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("%d bytes remain held", d.Memory.Held())
+		}
+	}
+}
