--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"strconv"
 	"time"
 )
 
@@ -30,7 +31,15 @@
 
 var cases = map[string]func(*rig){}
 
+// helpers are parts of a case that run as processes of their own.
+var helpers = map[string]func(listen string, duration time.Duration){}
+
 func main() {
+	if len(os.Args) == 5 && os.Args[1] == "helper" && helpers[os.Args[2]] != nil {
+		seconds, _ := strconv.Atoi(os.Args[4])
+		helpers[os.Args[2]](os.Args[3], min(timeLimit, time.Duration(seconds)*time.Second))
+		return
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand2 CASE RECORD")
 		os.Exit(2)
--- a/review/_stand2/rig.go
+++ b/review/_stand2/rig.go
@@ -99,6 +99,9 @@
 }
 
 func (p *process) logText() string {
+	if p.log == nil {
+		return ""
+	}
 	p.logMu.Lock()
 	defer p.logMu.Unlock()
 	return p.log.String()
