Fix: requests read from a connection are dropped when it gives way to others

Cause: other goroutines than the reader decided that a connection is idle (CloseWhenIdle, shutDownIfIdle), by a flag that the reader sets after its read has returned. In between, for as long as the reader waits for the processor, a request is in its hands and the connection counts as idle.

Change: only the reader ends a connection that it reads. Others interrupt its read. It answers what has arrived by then (the bytes in the socket, 256 commands at most, the rest of one command), so nothing that was read is dropped and a client that never stops sending is not kept. A connection that was chosen to give way is not chosen again; evicted connections that have not ended may exceed the limit by a sixteenth.

--- a/internal/frontend/resp2/client.go
+++ b/internal/frontend/resp2/client.go
@@ -106,10 +106,16 @@
 	memory *resourcelimit.Bytes
 	// writing tells that a goroutine is writing to conn.
 	writing bool
-	// hasUnparsedBytes tells that bytes were read and not yet searched for commands.
-	hasUnparsedBytes bool
+	// hasInput tells that bytes were read that are not yet answered: commands, or a part of one.
+	hasInput bool
 	// closeWhenAnswered tells that the connection ends once all is answered. What is read from now on is rejected.
 	closeWhenAnswered bool
+	// evicted tells that the connection's place is needed: it ends without waiting for the rest of a command.
+	evicted bool
+	// discarding tells that no command is handled any more: input is read and dropped.
+	discarding bool
+	// lastInput is what is still read on a connection that is to end; nil: that is not decided yet.
+	lastInput *lastInput
 	// writeClosed tells that the write side is closed and the client is expected to close its side.
 	writeClosed bool
 	// rejected tells that input was rejected: its rest is read for rejectedLingerTimeout.
@@ -117,7 +123,11 @@
 	// isCountedLingering tells that the connection is counted in Frontend.lingering.
 	isCountedLingering bool
 	closed             bool
+	// ending is closed when the connection is evicted. It ends the reader's pauses.
+	ending chan struct{}
 
+	// commandsRead counts the commands read. It is used by the reading goroutine only.
+	commandsRead int
 	// lastReadAt is the event loop's time at which the bytes were read that complete the last command. It is used by
 	// the reading goroutine only.
 	lastReadAt time.Duration
@@ -134,6 +144,7 @@
 		conn:         nc,
 		readDeadline: time.Now().Add(firstCommandTimeout),
 		lastReadAt:   fr.env.Now(),
+		ending:       make(chan struct{}),
 	}
 	c.changed = sync.NewCond(&c.mu)
 	c.reader = resp.Reader{Source: c, Memory: fr.env.Memory}
@@ -150,11 +161,14 @@
 		}
 		m, err := c.reader.Next()
 		switch {
-		case errors.Is(err, errHandover):
+		case errors.Is(err, errInterrupted):
 			continue
 		case errors.Is(err, errWriteClosed):
 			c.discard()
 			return
+		case errors.Is(err, errEndAmidCommand):
+			c.refusePartialCommand()
+			return
 		case errors.Is(err, resp.ErrMalformed):
 			c.rejectAndClose("-ERR Protocol error\r\n")
 			return
@@ -166,11 +180,12 @@
 			c.rejectAndClose("-ERR the command has not come in time\r\n")
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			c.closeUnused()
-			return
+			c.endUnused()
+			continue
 		case err != nil:
 			return
 		}
+		c.commandsRead++
 		c.readDeadline = time.Time{}
 		if c.wasPaused && socket.HasPeerClosed(c.conn) {
 			return
@@ -188,58 +203,63 @@
 	if c.readDeadline.IsZero() && c.reader.HasPartialMessage() {
 		c.readDeadline = time.Now().Add(commandTimeout)
 	}
-	if !c.beginRead() {
-		return 0, errWriteClosed
+	if err := c.beginRead(); err != nil {
+		return 0, err
 	}
 	// This follows the deadline's setting, as Move stores its function first and sets its own deadline then.
 	if c.shouldHandOver() {
-		return 0, errHandover
+		return 0, errInterrupted
 	}
 	n, err := c.conn.Read(b)
 	if n == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
 		return 0, err
 	}
-	if !c.finishRead(n) {
-		return 0, errWriteClosed
-	}
+	c.finishRead(n)
 	if n == 0 && (c.readDeadline.IsZero() || time.Now().Before(c.readDeadline)) {
-		c.hasReadDeadline = true // Move has set it; beginRead resets it
-		return 0, errHandover
+		c.hasReadDeadline = true // another goroutine has set it; beginRead resets it
+		return 0, errInterrupted
 	}
 	return n, err
 }
 
-// errWriteClosed is returned by Read once the write side is closed: the client may have sent more before it noticed.
-var errWriteClosed = errors.New("the connection is closed for writing")
+var (
+	// errInterrupted is returned by Read when another goroutine has ended a read: the connection is to be handed to
+	// another process, or to end.
+	errInterrupted = errors.New("reading was interrupted")
+	// errWriteClosed is returned by Read once the write side is closed: the client may have sent more before it noticed.
+	errWriteClosed = errors.New("the connection is closed for writing")
+)
 
-// beginRead records that all commands that were read have been handled, and sets the deadline for the next one. It may
-// close the write side if the connection is to end, and returns false if that is closed.
-func (c *client) beginRead() bool {
+// beginRead records that all whole commands that were read have been handled, and sets the deadline for the next one.
+// It returns an error if the connection ends instead.
+func (c *client) beginRead() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasUnparsedBytes = false
-	c.shutDownIfIdle()
-	if !c.writeClosed && (!c.readDeadline.IsZero() || c.hasReadDeadline) {
+	c.hasInput = c.reader.HasPartialMessage()
+	if err := c.endIfDone(); err != nil {
+		return err
+	}
+	if !c.readDeadline.IsZero() || c.hasReadDeadline {
 		c.conn.SetReadDeadline(c.readDeadline)
 		c.hasReadDeadline = !c.readDeadline.IsZero()
 	}
-	return !c.writeClosed
+	return nil
 }
 
-// finishRead records that bytes were read: commands in them are answered before the write side is closed. It returns
-// false if that is closed already.
-func (c *client) finishRead(n int) bool {
+// finishRead records that n bytes were read.
+func (c *client) finishRead(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.hasUnparsedBytes = n > 0; c.hasUnparsedBytes {
-		c.lastReadAt = c.front.env.Now()
+	if n == 0 {
+		return
+	}
+	c.hasInput = true
+	c.lastReadAt = c.front.env.Now()
+	if c.lastInput != nil {
+		c.lastInput.unread -= n
 	}
-	return !c.writeClosed
 }
 
-// errHandover is returned by Read when the connection is to be handed to another process.
-var errHandover = errors.New("the connection is about to be handed over")
-
 // shouldHandOver reports whether the connection is to be handed to another process before more is read from it. If more
 // bytes of a command are buffered than a handover can carry, this process reads on first.
 func (c *client) shouldHandOver() bool {
@@ -388,8 +408,7 @@
 	}
 	ok := c.reply(line)
 	if c.invalidCommands > 1 && ok {
-		time.Sleep(invalidCommandDelay)
-		c.wasPaused = true
+		c.pause(invalidCommandDelay)
 	}
 	return ok
 }
@@ -404,12 +423,22 @@
 		return false
 	}
 	if c.replies++; c.replies > maxUnpacedReplies && c.idleSince.Load() != 0 {
-		time.Sleep(replyDelay)
-		c.wasPaused = true
+		c.pause(replyDelay)
 	}
 	return true
 }
 
+// pause delays the reading of the next command. It ends early if the connection is evicted.
+func (c *client) pause(delay time.Duration) {
+	c.wasPaused = true
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.ending:
+	}
+}
+
 // reserveSlot appends a slot for the next answer. It waits while there are too many slots, while the client does not
 // accept its answers, or while there is no memory for one more answer behind others. It returns nil if the connection
 // has ended. The caller has reserved the memory, which is then released.
@@ -531,7 +560,7 @@
 		}
 	}
 	c.unwritten = nil
-	c.shutDownIfIdle()
+	c.endIfIdle()
 }
 
 // writeRemaining writes until no answers are left. It runs in a goroutine of its own.
@@ -554,7 +583,7 @@
 	c.writing = false
 	c.conn.SetWriteDeadline(time.Time{})
 	c.changed.Broadcast()
-	c.shutDownIfIdle()
+	c.endIfIdle()
 }
 
 // write writes to the connection for as long as the client accepts bytes. It blocks. The caller has exclusive use of
@@ -576,117 +605,6 @@
 	}
 }
 
-// rejectAndClose answers input that can't be read with an error line, and ends the connection after the answers to
-// earlier commands. Closing it while the client still sends would discard the error line, so input is read for a while.
-func (c *client) rejectAndClose(line string) {
-	c.mu.Lock()
-	if c.closed {
-		c.mu.Unlock()
-		return
-	}
-	s := &slot{memory: c.memory} // the slot limit does not apply, as no slot follows
-	c.slots = append(c.slots, s)
-	c.idleSince.Store(0)
-	c.closeWhenAnswered, c.rejected, c.hasUnparsedBytes = true, true, false
-	c.mu.Unlock()
-	c.completeSlot(s, []byte(line))
-	c.discard()
-}
-
-// closeUnused ends a connection whose client sends no command.
-func (c *client) closeUnused() {
-	c.mu.Lock()
-	c.closeWhenAnswered = true
-	c.shutDownIfIdle()
-	c.mu.Unlock()
-	c.discard()
-}
-
-// discard reads and drops input until the connection ends. Without reading, a client that disconnects while answers are
-// still owed would not be noticed.
-func (c *client) discard() {
-	c.reader.Release()
-	c.mu.Lock()
-	if !c.writeClosed {
-		c.conn.SetReadDeadline(time.Time{})
-	}
-	c.mu.Unlock()
-	b := make([]byte, discardBufferBytes)
-	for left := maxDiscardedBytes; left > 0; {
-		n, err := c.conn.Read(b)
-		if err != nil {
-			return
-		}
-		left -= n
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for !c.writeClosed && !c.closed {
-		c.changed.Wait()
-	}
-}
-
-// IdleSince implements [resourcelimit.ClientConnection].
-func (c *client) IdleSince() (time.Duration, bool) {
-	return time.Duration(c.idleSince.Load()), c.hasSentCommand.Load()
-}
-
-// CloseWhenIdle implements [resourcelimit.ClientConnection]. The place is needed at once, so it does not wait until the
-// client closes its side.
-func (c *client) CloseWhenIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closeWhenAnswered = true
-	if c.writeClosed || c.isIdle() {
-		c.close()
-	}
-}
-
-// isClosing reports whether the connection is to end after the answers that are owed on it.
-func (c *client) isClosing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closeWhenAnswered
-}
-
-// isIdle reports whether all that was read is answered and the answers are written. The caller holds mu.
-func (c *client) isIdle() bool { return c.owesNothing() && !c.hasUnparsedBytes }
-
-// shutDownIfIdle ends a connection that is to end once no answer is owed on it. It closes the write side first, and the
-// connection when the client has closed its side or the linger timeout has passed: closing a socket with unread bytes
-// resets the connection, and the reset may reach the client before the last answer does. The caller holds mu.
-func (c *client) shutDownIfIdle() {
-	if !c.closeWhenAnswered || !c.isIdle() || c.writeClosed || c.closed {
-		return
-	}
-	c.isCountedLingering = c.rejected
-	if half, ok := c.conn.(interface{ CloseWrite() error }); !ok ||
-		c.rejected && c.front.lingering.Add(1) > c.front.lingeringLimit() || half.CloseWrite() != nil {
-		c.close()
-		return
-	}
-	c.writeClosed = true
-	timeout := lingerTimeout
-	if c.rejected {
-		timeout = rejectedLingerTimeout
-	}
-	c.conn.SetReadDeadline(time.Now().Add(timeout))
-	c.changed.Broadcast()
-}
-
-// close closes the connection. The caller holds mu.
-func (c *client) close() {
-	if !c.closed {
-		c.closed = true
-		c.conn.Close()
-		if c.isCountedLingering {
-			c.isCountedLingering = false
-			c.front.lingering.Add(-1)
-		}
-		c.changed.Broadcast()
-	}
-}
-
 // cleanUp closes the connection, releases its resources and tells the event loop of its open requests.
 func (c *client) cleanUp() {
 	c.mu.Lock()
--- a/internal/frontend/resp2/front.go
+++ b/internal/frontend/resp2/front.go
@@ -192,7 +192,7 @@
 	fr.handoverPending = false
 	fr.mu.Unlock()
 	for _, c := range fr.clients() {
-		c.conn.SetReadDeadline(time.Unix(1, 0)) // wakes the reading goroutine
+		c.conn.SetReadDeadline(interruptedDeadline) // wakes the reading goroutine
 	}
 }
 
@@ -241,7 +241,7 @@
 	}
 	for _, c := range all {
 		c.mu.Lock()
-		c.shutDownIfIdle()
+		c.endIfIdle()
 		c.mu.Unlock()
 	}
 	return len(all) == 0 && fr.acceptEnded.Load()
--- a/internal/resourcelimit/clientlimit.go
+++ b/internal/resourcelimit/clientlimit.go
@@ -14,6 +14,8 @@
 	// UnassignedFraction is the fraction of the connections that guarantees must leave free: it is reserved for
 	// connections that have not sent a request yet.
 	UnassignedFraction = 1 - assignableFraction
+	// endingFraction is the fraction of the limit by which evicted connections that have not ended yet may exceed it.
+	endingFraction = 1.0 / 16
 )
 
 // Times after which a connection without an open request may be evicted, in the order of eviction.
@@ -31,7 +33,8 @@
 	// IdleSince returns the event loop's time since which no request has been open, or 0 while one is open, and whether
 	// the connection has ever sent a request.
 	IdleSince() (since time.Duration, used bool)
-	// CloseWhenIdle closes the connection now if it is idle, otherwise after its last response.
+	// CloseWhenIdle ends the connection: at once if it is idle, otherwise after its last response. A request that was
+	// read from it, or has arrived by then, gets a response first. It does not block.
 	CloseWhenIdle()
 }
 
@@ -76,6 +79,9 @@
 		return true
 	}
 	full := count >= c.limit
+	if float64(count) >= (1+endingFraction)*float64(c.limit) {
+		return false
+	}
 	evicted := c.evictIdle(full)
 	return evicted || !full
 }
@@ -192,19 +198,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var victim ClientConnection
+	var victimState *connectionState
 	var lowestRank time.Duration
 	for connection, state := range c.connections {
 		var idle idleState
 		idle.since, idle.used = connection.IdleSince()
-		if idle.since == 0 || state.group.borrowed() <= 0 {
+		if idle.since == 0 || state.evicting || state.group.borrowed() <= 0 {
 			continue
 		}
 		rank, evictable := idle.evictionRank(now, full)
 		if evictable && (victim == nil || rank < lowestRank) {
 			victim = connection
+			victimState = state
 			lowestRank = rank
 		}
 	}
+	if victim != nil {
+		victimState.evicting = true
+	}
 	return victim
 }
 
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -87,14 +87,21 @@
 
 // SendQueue returns how many bytes the system still keeps for the peer, which has not accepted them. It may be called
 // while another goroutine writes. It returns 0 if the connection is no system socket or the number is not known.
-func SendQueue(conn net.Conn) int {
+func SendQueue(conn net.Conn) int { return queueSize(conn, unix.SIOCOUTQ) }
+
+// ReceiveQueue returns how many bytes have arrived and are not read. It may be called while another goroutine reads. It
+// returns 0 if the connection is no system socket or the number is not known.
+func ReceiveQueue(conn net.Conn) int { return queueSize(conn, unix.SIOCINQ) }
+
+// queueSize returns the number of bytes in one of the queues of a socket, or 0 if it is not known.
+func queueSize(conn net.Conn, request uint) int {
 	raw, err := rawConn(conn)
 	if raw == nil || err != nil {
 		return 0
 	}
 	queued := 0
 	err = raw.Control(func(fd uintptr) {
-		n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		n, err := unix.IoctlGetInt(int(fd), request)
 		if err == nil {
 			queued = n
 		}
