Fix: checks read from a connection are dropped when it gives way to others

A web proxy saw the end of the connection in place of an answer.

Change: who wants the end interrupts the read of an idle connection; the read decides (readsOn). What has arrived is handled, and the connection ends with that answer. The deadlines that net/http sets are kept apart, and a read beside a check goes on, as net/http would take its end for a client that has gone.

--- a/internal/frontend/extauthz/conn.go
+++ b/internal/frontend/extauthz/conn.go
@@ -2,17 +2,20 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"gapgap/internal/cpuscheduler"
 	"gapgap/internal/proxy"
+	"gapgap/internal/socket"
 )
 
 // minEvictionIdle is how long a connection must have been idle before it may be evicted. With a shorter time it might
-// be closed while net/http is still reading a request.
+// be closed while a client is still sending a request.
 const minEvictionIdle = 200 * time.Millisecond
 
 // conn is a connection from a web proxy. It counts toward the connection limit that all frontends share. Times are on
@@ -40,10 +43,16 @@
 	// used is true once a handler has received a request.
 	used atomic.Bool
 
-	mu     sync.Mutex
-	closed bool
+	mu sync.Mutex
+	// ending is true while the reading goroutine is to decide whether the connection ends.
+	ending bool
+	// readDeadline is the read deadline that net/http has set.
+	readDeadline time.Time
 }
 
+// interruptedDeadline is a read deadline in the past, which ends a read at once.
+var interruptedDeadline = time.Unix(1, 0)
+
 // newConn returns an accepted connection and adds it to the connection limit.
 func newConn(f *Frontend, netConn net.Conn) *conn {
 	c := &conn{
@@ -69,25 +78,73 @@
 	return c
 }
 
-// Read implements [net.Conn]. Bytes that arrive after the connection was closed are dropped, as if they had been sent
-// after the close.
+// Read implements [net.Conn]. When the connection is to end, it decides whether it does: only the reading goroutine knows
+// what has been read.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n == 0 {
-		return n, err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
+	for {
+		n, err := c.Conn.Read(b)
+		switch {
+		case n > 0:
+			c.countRead(n)
+			return n, err
+		case !errors.Is(err, os.ErrDeadlineExceeded) || !c.readsOn():
+			return n, err
+		}
 	}
+}
+
+// countRead records that n bytes were read.
+func (c *conn) countRead(n int) {
 	now := int64(c.front.env.Coarse())
 	c.lastActivity.Store(now)
 	c.unaccounted.Add(int64(n))
 	if c.openRequests.Load() == 0 {
 		c.requestBegan.CompareAndSwap(0, now)
 	}
-	return n, err
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		_ = c.endAfterAnswer() // the next read returns the error too
+	}
+}
+
+// endAfterAnswer makes the connection end after the next answer instead of now. The caller holds mu.
+func (c *conn) endAfterAnswer() error {
+	c.ending = false
+	c.closeAfterAnswer.Store(true)
+	return c.Conn.SetReadDeadline(c.readDeadline)
+}
+
+// readsOn reports whether reading goes on although a read deadline has passed: it was not that of net/http, and a
+// request is being answered or its bytes have arrived. The connection then ends after the answer. Otherwise net/http
+// closes it.
+func (c *conn) readsOn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isOwnDeadline := !c.readDeadline.IsZero() && !time.Now().Before(c.readDeadline)
+	if !c.ending || isOwnDeadline {
+		return false
+	}
+	if c.openRequests.Load() == 0 && socket.ReceiveQueue(c.Conn) == 0 {
+		return false
+	}
+	return c.endAfterAnswer() == nil
+}
+
+// SetReadDeadline implements [net.Conn].
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = deadline
+	if c.ending {
+		return c.Conn.SetReadDeadline(interruptedDeadline)
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline implements [net.Conn].
+func (c *conn) SetDeadline(deadline time.Time) error {
+	return errors.Join(c.SetReadDeadline(deadline), c.SetWriteDeadline(deadline))
 }
 
 // Write implements [net.Conn].
@@ -98,9 +155,6 @@
 
 // Close implements [net.Conn].
 func (c *conn) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
 	c.front.env.Conns.Remove(c)
 	return c.Conn.Close()
 }
@@ -144,23 +198,25 @@
 	c.openRequests.Add(-1)
 }
 
-// isOverdue reports whether the connection has exceeded a timeout: Config.HeaderTimeout for the first request and for
+// closeIfOverdue closes the connection if it has exceeded a timeout: Config.HeaderTimeout for the first request and for
 // any request that has begun, and Config.IdleTimeout between two requests. The timeouts of net/http would do the same,
 // but take three timers per request.
-func (c *conn) isOverdue(now time.Duration) bool {
+func (c *conn) closeIfOverdue() {
 	if c.openRequests.Load() > 0 {
-		return false
+		return
 	}
 	config := &c.front.config
-	lastActivity := time.Duration(c.lastActivity.Load())
+	now := c.front.env.Now()
 	requestBegan := time.Duration(c.requestBegan.Load())
-	if !c.used.Load() {
-		return now-c.acceptedAt > config.HeaderTimeout
-	}
-	if requestBegan > 0 && !c.http2.Load() && now-requestBegan > config.HeaderTimeout {
-		return true
+	used := c.used.Load()
+	switch {
+	case requestBegan > 0 && !used && now-c.acceptedAt > config.HeaderTimeout,
+		requestBegan > 0 && used && !c.http2.Load() && now-requestBegan > config.HeaderTimeout:
+		_ = c.Close() // nothing more is sent on it
+	case !used && now-c.acceptedAt > config.HeaderTimeout,
+		used && now-time.Duration(c.lastActivity.Load()) > config.IdleTimeout:
+		c.CloseWhenIdle()
 	}
-	return now-lastActivity > config.IdleTimeout
 }
 
 // IdleSince implements [resourcelimit.ClientConnection].
@@ -171,22 +227,17 @@
 	return time.Duration(c.lastActivity.Load()), c.used.Load()
 }
 
-// CloseWhenIdle implements [resourcelimit.ClientConnection].
+// CloseWhenIdle implements [resourcelimit.ClientConnection]. It interrupts the read of an idle connection, which then
+// ends: see readsOn.
 func (c *conn) CloseWhenIdle() {
-	if c.closeIfIdle() {
-		_ = c.Close() // nothing more is sent on it
-		return
-	}
-	// net/http closes the connection after that answer, or with HTTP/2 once its streams have ended.
-	c.closeAfterAnswer.Store(true)
-}
-
-// closeIfIdle reports whether the connection is idle. If so, it makes Read drop all further input.
-func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	idle := c.openRequests.Load() == 0 &&
-		c.front.env.Now()-time.Duration(c.lastActivity.Load()) >= minEvictionIdle
-	c.closed = c.closed || idle
-	return idle
+	idleFor := c.front.env.Now() - time.Duration(c.lastActivity.Load())
+	if c.openRequests.Load() > 0 || idleFor < minEvictionIdle {
+		// net/http closes the connection after the answer, or with HTTP/2 once its streams have ended.
+		c.closeAfterAnswer.Store(true)
+		return
+	}
+	c.ending = true
+	_ = c.Conn.SetReadDeadline(interruptedDeadline) // fails only if the connection is closed
 }
--- a/internal/frontend/extauthz/front.go
+++ b/internal/frontend/extauthz/front.go
@@ -120,11 +120,8 @@
 
 // closeOverdue closes the connections that have exceeded a timeout.
 func (f *Frontend) closeOverdue() {
-	now := f.env.Now()
 	for _, c := range f.connections() {
-		if c.isOverdue(now) {
-			_ = c.Close() // nothing more is sent on it
-		}
+		c.closeIfOverdue()
 	}
 }
 
