Fix: an operator's line is dropped when its connection gives way to others

Change: that connection is ended for reading, and so are those that wait when the process ends; a line that has arrived is answered.

--- a/internal/frontend/admin/admin.go
+++ b/internal/frontend/admin/admin.go
@@ -11,9 +11,12 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"time"
+
+	"gapgap/internal/socket"
 )
 
 const (
@@ -28,6 +31,8 @@
 const (
 	// lineTimeout is how long the line may take to arrive after connecting.
 	lineTimeout = 5 * time.Second
+	// lateLineTimeout is how long a line is still read that has arrived by the end of lineTimeout.
+	lateLineTimeout = 10 * time.Millisecond
 	// commandTimeout is how long a command may take. An answer must be sent within 1 s of the line.
 	commandTimeout = 850 * time.Millisecond
 	// answerTimeout is how long writing the answer may take.
@@ -74,13 +79,14 @@
 // Serve starts to accept connections and returns at once.
 func (f *Frontend) Serve() { f.wg.Go(f.accept) }
 
-// Close closes the listener and the waiting connections, and waits for all goroutines.
+// Close closes the listener, ends the waiting connections for reading, and waits for all goroutines. Lines that have
+// arrived are still answered.
 func (f *Frontend) Close() {
 	closeQuietly(f.listener)
 	f.mu.Lock()
 	f.closed = true
 	for _, conn := range f.waiting {
-		closeQuietly(conn)
+		setDeadline(conn.SetReadDeadline, 0)
 	}
 	f.mu.Unlock()
 	f.wg.Wait()
@@ -110,7 +116,7 @@
 }
 
 // admit counts a new connection and reports whether it may stay. If there are too many, the one that has waited longest
-// for its line is closed.
+// for its line is ended for reading: a line that has arrived is still answered.
 func (f *Frontend) admit(conn net.Conn) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -121,7 +127,7 @@
 		if len(f.waiting) == 0 {
 			return false
 		}
-		closeQuietly(f.waiting[0])
+		setDeadline(f.waiting[0].SetReadDeadline, 0)
 		f.waiting = f.waiting[1:]
 		f.open--
 	}
@@ -130,7 +136,8 @@
 	return true
 }
 
-// removeWaiting ends the wait for a connection's line. It returns false if the connection was closed by admit.
+// removeWaiting ends the wait for a connection's line. It returns false if admit has ended the connection for reading and
+// no longer counts it.
 func (f *Frontend) removeWaiting(conn net.Conn) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -154,10 +161,9 @@
 	defer closeQuietly(conn)
 	setDeadline(conn.SetReadDeadline, lineTimeout)
 	line, err := readLine(conn)
-	if !f.removeWaiting(conn) {
-		return
+	if f.removeWaiting(conn) {
+		defer f.release()
 	}
-	defer f.release()
 	var answer []byte
 	switch {
 	case errors.Is(err, errLineTooLong):
@@ -200,6 +206,11 @@
 	n := 0
 	for {
 		m, err := conn.Read(line[n:])
+		if m == 0 && errors.Is(err, os.ErrDeadlineExceeded) && socket.ReceiveQueue(conn) > 0 {
+			// The line has arrived while this goroutine was late.
+			setDeadline(conn.SetReadDeadline, lateLineTimeout)
+			m, err = conn.Read(line[n:])
+		}
 		n += m
 		if i := bytes.IndexByte(line[:n], '\n'); i >= 0 {
 			return string(line[:i]), nil
