Fix: a process that is told to end cuts off values that are still on their way

Cause: serveUntil and drainFrontends gave up after 0.5 s, the longest timeout and 0.1 s, whatever was open. Requests that wait have their answer by then; a value that has begun has no deadline. Evidence: TestLongValueOutlastsItsProcess before: the value ends after 37 of 50 pieces (restart, upgrade) and 38 (a reload before), "unanswered=1".

Change: one rule for both programs, proxy.Shutdown. A process ends when no connection is left, and after that time also if nothing moves on the connections that are left. Frontends tell which it is (DrainStatus): a command that has begun, an answer that is being written or a value on its way is waited for. Each of them ends by itself when it makes no progress (2.5 s for a command, 5 s without a byte for a value), so the wait stays bounded. The two loops that stood twice are one.

--- /dev/null
+++ b/cmd/gapgap/transfer_test.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gapgap/internal/fake/catalog"
+	"gapgap/internal/fake/flagserver"
+	"gapgap/internal/fake/peer"
+)
+
+// slowValue is a long value that its endpoint writes in pieces. It takes longer than the 3.6 s after which every request
+// of the tests' configuration has timed out in a shutdown.
+const (
+	slowValueBytes = 1 << 20
+	slowPieces     = 50
+	slowInterval   = 100 * time.Millisecond
+)
+
+// writeSlowValue answers one request with a slow value.
+func writeSlowValue(b *peer.Peer) error {
+	b.Message()
+	text := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", slowValueBytes, strings.Repeat("v", slowValueBytes))
+	for i := range slowPieces {
+		if _, err := io.WriteString(b.NC, text[i*len(text)/slowPieces:(i+1)*len(text)/slowPieces]); err != nil {
+			return fmt.Errorf("after %d of %d pieces: %w", i, slowPieces, err)
+		}
+		time.Sleep(slowInterval)
+	}
+	return nil
+}
+
+// TestLongValueOutlastsItsProcess guards against a process that is told to end and cuts off a long value which its
+// endpoint still writes: at a planned restart, in an upgrade, and with a reload in between.
+func TestLongValueOutlastsItsProcess(t *testing.T) {
+	for name, change := range map[string]func(n *node, p *process){
+		"restart": func(*node, *process) {},
+		"reload and restart": func(_ *node, p *process) {
+			p.cmd.Process.Signal(syscall.SIGHUP)
+			time.Sleep(slowInterval)
+		},
+		"upgrade": func(n *node, _ *process) { n.start().waitReady() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := newNode(t, 0, flagserver.Config{})
+			ln := peer.Listen(t)
+			n.agent.Set(catalog.Serving("s-0", ln.Addr().String()))
+			p := n.start()
+			p.waitReady()
+			c, err := n.dial()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.nc.Close()
+			io.WriteString(c.nc, peer.Command("Q.ASK", peer.Customer, "1", shortList))
+			written := make(chan error, 1)
+			b := peer.Accept(t, ln)
+			go func() { written <- writeSlowValue(b) }()
+			if line, err := c.in.ReadString('\n'); err != nil || line != fmt.Sprintf("$%d\r\n", slowValueBytes) {
+				t.Fatalf("%q and %v", line, err)
+			}
+			change(n, p)
+			p.cmd.Process.Signal(syscall.SIGTERM)
+			if got, err := io.CopyN(io.Discard, c.in, slowValueBytes+2); err != nil {
+				t.Errorf("the value ends after %d bytes: %v", got, err)
+			}
+			if err := <-written; err != nil {
+				t.Errorf("the endpoint can't go on: %v", err)
+			}
+			p.stop()
+			if !strings.Contains(p.log.String(), "unanswered=0") {
+				t.Error("the process has left a request unanswered")
+			}
+		})
+	}
+}
+
+// shortList is that of a request with the longest timeout of the tests' configuration.
+const shortList = "c=evaluate,t=open,d=3000,units=1,spread=1,first=0"
+
+// TestStalledValueDoesNotKeepItsProcess verifies that a process that is told to end does not wait for a long value that
+// makes no progress: it ends once the bound of 5 s between two pieces has passed.
+func TestStalledValueDoesNotKeepItsProcess(t *testing.T) {
+	t.Parallel()
+	n := newNode(t, 0, flagserver.Config{})
+	ln := peer.Listen(t)
+	n.agent.Set(catalog.Serving("s-0", ln.Addr().String()))
+	p := n.start()
+	p.waitReady()
+	c, err := n.dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.nc.Close()
+	io.WriteString(c.nc, peer.Command("Q.ASK", peer.Customer, "1", shortList))
+	b := peer.Accept(t, ln)
+	b.Message()
+	b.Write(fmt.Sprintf("*3\r\n$%d\r\n%s", slowValueBytes, strings.Repeat("v", slowValueBytes/2)))
+	if _, err := c.in.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	if got, err := io.Copy(io.Discard, c.in); got >= slowValueBytes || err != nil && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("%d bytes and %v, want the end amid the value", got, err)
+	}
+	p.stop()
+}
--- a/internal/frontend/extauthz/front.go
+++ b/internal/frontend/extauthz/front.go
@@ -92,8 +92,9 @@
 	_ = f.listener.Close() // fails only if it is already closed
 }
 
-// Drain implements [proxy.Frontend]. Idle connections are closed at once, others with their next answer.
-func (f *Frontend) Drain() bool {
+// Drain implements [proxy.Frontend]. Idle connections are closed at once, others with their next answer. Answers are
+// short, so none counts as a transfer.
+func (f *Frontend) Drain() proxy.DrainStatus {
 	if f.drained == nil {
 		f.drained = make(chan struct{})
 		go func() {
@@ -107,9 +108,9 @@
 	}
 	select {
 	case <-f.drained:
-		return true
+		return proxy.Drained
 	default:
-		return false
+		return proxy.AwaitingAnswers
 	}
 }
 
--- a/internal/frontend/resp2/end.go
+++ b/internal/frontend/resp2/end.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
+	"gapgap/internal/proxy"
 	"gapgap/internal/socket"
 )
 
@@ -169,6 +171,18 @@
 	c.endIfIdle()
 }
 
+// drainStatus returns what keeps the connection of a frontend that drains.
+func (c *client) drainStatus() proxy.DrainStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isStreamed := func(s *slot) bool { return s.stream != nil }
+	isMoving := c.writing || len(c.unwritten) > 0 || c.hasInput || slices.ContainsFunc(c.slots, isStreamed)
+	if isMoving && !c.closed {
+		return proxy.Transferring
+	}
+	return proxy.AwaitingAnswers
+}
+
 // isClosing reports whether the connection is to end after the answers that are owed on it.
 func (c *client) isClosing() bool {
 	c.mu.Lock()
--- a/internal/frontend/resp2/front.go
+++ b/internal/frontend/resp2/front.go
@@ -221,20 +221,30 @@
 	return all
 }
 
-// Drain implements [proxy.Frontend]: it closes idle connections at once and the others after their last answer. It does
-// nothing from Pause until Move or Resume.
-func (fr *Frontend) Drain() bool {
+// Drain implements [proxy.Frontend]: it closes idle connections at once and the others after their last answer. From
+// Pause until Move or Resume it closes nothing.
+func (fr *Frontend) Drain() proxy.DrainStatus {
 	fr.mu.Lock()
 	handoverPending := fr.handoverPending
 	fr.mu.Unlock()
-	if handoverPending {
-		return false
-	}
 	all := fr.clients()
-	if fr.handOver.Load() != nil { // connections end by being handed over
-		return len(all) == 0 && fr.acceptEnded.Load()
+	if !handoverPending && fr.handOver.Load() == nil { // otherwise connections end by being handed over
+		endWhenAnswered(all)
+	}
+	status := proxy.Drained
+	if handoverPending || !fr.acceptEnded.Load() {
+		status = proxy.AwaitingAnswers
+	}
+	for _, c := range all {
+		status = max(status, c.drainStatus())
 	}
-	for _, c := range all { // mark all first: a client that finds one closed may use another one
+	return status
+}
+
+// endWhenAnswered ends connections as soon as nothing is owed on them. All are marked first: a client that finds one
+// closed may use another one.
+func endWhenAnswered(all []*client) {
+	for _, c := range all {
 		c.mu.Lock()
 		c.closeWhenAnswered = true
 		c.mu.Unlock()
@@ -244,7 +254,6 @@
 		c.endIfIdle()
 		c.mu.Unlock()
 	}
-	return len(all) == 0 && fr.acceptEnded.Load()
 }
 
 // busyAnswer returns a rejection with the time until a retry in whole milliseconds, rounded up.
--- a/internal/proxy/interfaces.go
+++ b/internal/proxy/interfaces.go
@@ -91,8 +91,8 @@
 	Serve()
 	// CloseListeners stops accepting connections. It is idempotent.
 	CloseListeners()
-	// Drain closes connections that have no request in progress and reports whether none is left.
-	Drain() bool
+	// Drain closes connections that have no request in progress and reports what is left.
+	Drain() DrainStatus
 }
 
 // Router returns the proxy that decides a request, already acquired, or nil if there is none. It is safe for concurrent
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -7,15 +7,8 @@
 	"time"
 )
 
-// Timing of a shutdown.
-const (
-	// AcceptAfterTerm is how long new connections are still accepted after the termination signal.
-	AcceptAfterTerm = 500 * time.Millisecond
-	// AnswerMargin is added to the longest client timeout to let the last answers be delivered.
-	AnswerMargin = 100 * time.Millisecond
-	// drainInterval is how often a shutdown checks whether it is complete.
-	drainInterval = 10 * time.Millisecond
-)
+// drainInterval is how often a shutdown checks whether it is complete.
+const drainInterval = 10 * time.Millisecond
 
 // Intervals of periodic work.
 const (
@@ -79,39 +72,22 @@
 // serveUntil runs tasks, due timers and steps until the shutdown is complete.
 func (p *Proxy) serveUntil(ctx context.Context, frontends []Frontend) {
 	signal := ctx.Done()
-	var closeListenersAt, giveUpAt time.Duration // on the loop's clock; 0: not shutting down
+	var shutdown *Shutdown // nil: not shutting down
 	for {
 		limit := idleWait
-		if closeListenersAt > 0 {
+		if shutdown != nil {
 			limit = drainInterval
 		}
 		if p.Wait(limit, signal) {
 			signal = nil
 			p.log.Info("ending")
-			closeListenersAt = p.Now() + AcceptAfterTerm
-			giveUpAt = closeListenersAt + p.LongestTimeout() + AnswerMargin
+			shutdown = NewShutdown(p.Now(), p.LongestTimeout())
 		}
 		p.Step()
 		// Once another process has taken over, no client connects to this one any more.
-		now := p.Now()
-		if closeListenersAt == 0 || now < closeListenersAt && !p.handedOver {
-			continue
-		}
-		if drain(frontends) || now >= giveUpAt {
+		if shutdown != nil && shutdown.Advance(p.Now(), p.handedOver, frontends) {
 			p.log.Info("ended", "unanswered", p.Unanswered())
 			return
 		}
 	}
 }
-
-// drain closes all listeners and idle connections and reports whether no connection is left.
-func drain(frontends []Frontend) bool {
-	drained := true
-	for _, f := range frontends {
-		f.CloseListeners()
-	}
-	for _, f := range frontends {
-		drained = f.Drain() && drained
-	}
-	return drained
-}
--- a/internal/service/hosted/metricsfrontend.go
+++ b/internal/service/hosted/metricsfrontend.go
@@ -61,7 +61,7 @@
 }
 
 // Drain implements [proxy.Frontend]. It closes all connections at once, since no client request waits on them.
-func (f *metricsFrontend) Drain() bool {
+func (f *metricsFrontend) Drain() proxy.DrainStatus {
 	_ = f.server.Close() // no data can be lost
-	return true
+	return proxy.Drained
 }
--- a/internal/service/hosted/serve.go
+++ b/internal/service/hosted/serve.go
@@ -70,16 +70,13 @@
 // shutdown answers the accepted requests and stops all components:
 //
 //  1. Reloads are rejected from now on.
-//  2. New connections and requests are still accepted for proxy.AcceptAfterTerm.
-//  3. Listeners and idle connections are closed until no client waits for an answer, for at most the longest client
-//     timeout plus proxy.AnswerMargin. Requests without an answer after that are logged as unanswered.
-//  4. The pools' event loops stop, then the recovery, the policy replica and the key replica.
-//  5. The gateway announces to the others that it leaves, so that they can use its share at once.
+//  2. What the clients are owed is done: see [proxy.Shutdown]. Requests without an answer after that are logged as
+//     unanswered.
+//  3. The pools' event loops stop, then the recovery, the policy replica and the key replica.
+//  4. The gateway announces to the others that it leaves, so that they can use its share at once.
 func (s *Service) shutdown() {
 	s.log.Info("ending")
-	longestTimeout := s.stopReloads()
-	closeListenersAt := s.Now() + proxy.AcceptAfterTerm
-	s.drainFrontends(closeListenersAt, closeListenersAt+longestTimeout+proxy.AnswerMargin)
+	s.drainFrontends(proxy.NewShutdown(s.Now(), s.stopReloads()))
 	for _, frontend := range s.authzFrontends {
 		frontend.Close()
 	}
@@ -107,31 +104,14 @@
 	return longestTimeout
 }
 
-// drainFrontends waits until closeListenersAt, then closes all listeners and returns when no client waits for an
-// answer, at giveUpAt at the latest. Both are times on the event loops' clock.
-func (s *Service) drainFrontends(closeListenersAt, giveUpAt time.Duration) {
-	for {
-		now := s.Now()
-		s.coarseTime.Store(int64(now))
-		if now >= closeListenersAt && (s.drainOnce() || now >= giveUpAt) {
-			return
-		}
+// drainFrontends returns when the shutdown of the frontends is complete.
+func (s *Service) drainFrontends(shutdown *proxy.Shutdown) {
+	for !shutdown.Advance(s.Now(), false, s.frontends) {
+		s.updateCoarseTime()
 		time.Sleep(drainInterval)
 	}
 }
 
-// drainOnce closes all listeners and idle connections. It reports whether no connection is left.
-func (s *Service) drainOnce() bool {
-	isDrained := true
-	for _, frontend := range s.frontends {
-		frontend.CloseListeners()
-	}
-	for _, frontend := range s.frontends {
-		isDrained = frontend.Drain() && isDrained
-	}
-	return isDrained
-}
-
 // endPools stops all pools and returns the number of unanswered requests. The pools must not change any more.
 func (s *Service) endPools() (unanswered int) {
 	for _, p := range s.pools {
--- /dev/null
+++ b/internal/service/hosted/transfer_test.go
@@ -0,0 +1,113 @@
+package hosted
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"gapgap/internal/fake/catalog"
+	"gapgap/internal/fake/peer"
+)
+
+// The tests of this file stop event loops while a long value is on the way to a client: it goes on for longer than any
+// request may take.
+const (
+	slowValueBytes = 300 << 10
+	slowPieces     = 25
+	slowInterval   = 100 * time.Millisecond
+)
+
+// classTimes is a part of baseConfig, and shortClassTimes replaces it.
+const (
+	classTimes      = "aim = \"2s\"\ngive_up = \"3s\""
+	shortClassTimes = "aim = \"600ms\"\ngive_up = \"600ms\""
+)
+
+// moreClasses is a class to add to a configuration.
+const moreClasses = "[[class]]\nname = %q\neffect = \"safe\"\nworth = 1.0\n" + shortClassTimes + "\n[[plan]]\n"
+
+// slowTransfer is a long value on its way from an endpoint through a gateway to a client.
+type slowTransfer struct {
+	*gateway
+	t        *testing.T
+	env      *testEnv
+	client   *peer.Peer
+	endpoint *peer.Peer
+	written  chan error
+}
+
+// config returns the gateway's configuration, with some more classes.
+func (s *slowTransfer) config(classes ...string) string {
+	text := s.env.configText(1, 0, classTimes, shortClassTimes, classTimes, shortClassTimes,
+		`within = "3s"`, `within = "600ms"`)
+	for _, class := range classes {
+		text = strings.Replace(text, "[[plan]]\n", fmt.Sprintf(moreClasses, class), 1)
+	}
+	return text
+}
+
+// startSlowTransfer starts a gateway and a transfer, of which the client has the first bytes. The endpoint goes on
+// writing.
+func startSlowTransfer(t *testing.T) *slowTransfer {
+	t.Helper()
+	s := &slowTransfer{t: t, env: startEnv(t, 0), written: make(chan error, 1)}
+	ln := peer.Listen(t)
+	s.env.agent.Set(catalog.Serving("slow", ln.Addr().String()))
+	s.gateway = s.env.startService(s.config())
+	s.client = peer.Dial(t, s.resp)
+	s.client.Command("Q.ASK", customers["free"], "1", "c=evaluate,t=open,d=600,units=1,spread=1,first=0")
+	s.endpoint = peer.Accept(t, ln)
+	s.endpoint.Message()
+	go func() { s.written <- s.write() }()
+	if _, err := s.client.In.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// write writes the endpoint's answer in pieces.
+func (s *slowTransfer) write() error {
+	text := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", slowValueBytes, strings.Repeat("v", slowValueBytes))
+	for i := range slowPieces {
+		piece := text[i*len(text)/slowPieces : (i+1)*len(text)/slowPieces]
+		if _, err := io.WriteString(s.endpoint.NC, piece); err != nil {
+			return fmt.Errorf("after %d of %d pieces: %w", i, slowPieces, err)
+		}
+		time.Sleep(slowInterval)
+	}
+	return nil
+}
+
+// reload applies a configuration.
+func (s *slowTransfer) reload(text string) {
+	s.t.Helper()
+	cfg, err := Parse("test.toml", []byte(text))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if err := s.Reload(cfg); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// wantsWhole checks that the client gets the whole value.
+func (s *slowTransfer) wantsWhole() {
+	s.t.Helper()
+	if m, err := s.client.Try(); err != nil || len(m[0]) != slowValueBytes {
+		s.t.Errorf("%.40q and %v, want the whole value", m, err)
+	}
+	if err := <-s.written; err != nil {
+		s.t.Errorf("the endpoint can't go on: %v", err)
+	}
+}
+
+// TestShutdownWaitsForLongValue guards against a shutdown of the hosted service that cuts off a long value which its
+// endpoint still writes.
+func TestShutdownWaitsForLongValue(t *testing.T) {
+	s := startSlowTransfer(t)
+	s.stop()
+	s.wantsWhole()
+	<-s.stopped
+}
