Fix: a reload leaves a long value that is on its way without an end

Cause: removePool ended the old pool after the longest timeout and 0.1 s, though a value that has begun has no deadline; and nobody answered what was left on a loop that ends. The goroutine that copied the value posted its failure to the loop, and Loop.Post dropped it in silence, so the client's slot was never completed.

Change: a pool that was replaced stays while values of it are on their way (Proxy.Transfers); each ends when it is whole or makes no progress. Whoever stops a loop answers what is left on it. Loop.Post tells whether the task will run: what was accepted before the end runs in Close, a request that comes later is rejected (PostSubmit).

--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -4,6 +4,7 @@
 package eventloop
 
 import (
+	"runtime"
 	"sync/atomic"
 	"time"
 )
@@ -22,9 +23,11 @@
 	clockAtStart time.Duration
 	tasks        chan func()
 	done         chan struct{}
-	wakeTimer    *time.Timer
-	timers       timerHeap
-	coarseNow    atomic.Int64
+	// submitting counts the goroutines that are submitting a task.
+	submitting atomic.Int64
+	wakeTimer  *time.Timer
+	timers     timerHeap
+	coarseNow  atomic.Int64
 }
 
 // New returns a loop whose clock starts at the current Unix time.
@@ -70,18 +73,21 @@
 	return l.Now()
 }
 
-// Post submits a task to the loop, blocking while the queue is full. After Close it does nothing. Any goroutine except
-// the loop goroutine may call it.
-func (l *Loop) Post(task func()) {
+// Post submits a task to the loop, blocking while the queue is full. It returns false if the loop has ended: the task
+// does not run. A task for which it returns true runs, at the latest in Close. Any goroutine except the loop goroutine
+// may call it.
+func (l *Loop) Post(task func()) bool { return l.PostUntil(task, nil) }
+
+// PostUntil is like Post but gives up when signal is closed. If the queue has capacity, the task is queued even if
+// signal is already closed.
+func (l *Loop) PostUntil(task func(), signal <-chan struct{}) bool {
+	l.submitting.Add(1)
+	defer l.submitting.Add(-1)
 	select {
-	case l.tasks <- task:
 	case <-l.done:
+		return false
+	default:
 	}
-}
-
-// PostUntil is like Post but gives up when signal or the loop is closed. It reports whether the task was queued. If the
-// queue has capacity, the task is queued even if signal is already closed.
-func (l *Loop) PostUntil(task func(), signal <-chan struct{}) bool {
 	select {
 	case l.tasks <- task:
 		return true
@@ -96,10 +102,17 @@
 	return false
 }
 
-// Close ends the loop: it runs no more tasks.
-func (l *Loop) Close() { close(l.done) }
+// Close ends the loop and runs the tasks that were submitted before. Only the loop goroutine may call it.
+func (l *Loop) Close() {
+	close(l.done)
+	for l.submitting.Load() > 0 || len(l.tasks) > 0 {
+		if !l.RunTask() {
+			runtime.Gosched()
+		}
+	}
+}
 
-// Done returns a channel that is closed by Close.
+// Done returns a channel that is closed when Close begins.
 func (l *Loop) Done() <-chan struct{} { return l.done }
 
 // Wait waits for a task, a due timer, the time limit or the signal, then runs all queued tasks and all due timers. It
--- a/internal/frontend/resp2/client.go
+++ b/internal/frontend/resp2/client.go
@@ -335,8 +335,7 @@
 			return false
 		}
 		c.replies = 0
-		pool.CountRequest(&req.Request)
-		pool.Post(func() { pool.Submit(&req.Request) })
+		pool.PostSubmit(&req.Request)
 		return true
 	}
 	return c.rejectCommand(fmt.Sprintf("-ERR unknown command '%s'\r\n", printable(args[0])))
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -29,6 +29,8 @@
 	}
 	a.request.deadlineTimer.Stop()
 	a.responseStarted = true
+	a.request.streaming = true
+	a.proxy.transfers.Add(1)
 	a.proxy.Enqueue(balancer.FirstByte{ID: a.request.id, Attempt: a.number})
 	return streamer.Stream(size)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -62,6 +62,12 @@
 	references atomic.Int64
 	// retired reports that no further request is accepted.
 	retired atomic.Bool
+	// transfers counts the requests whose long value is on its way to the client.
+	transfers atomic.Int64
+	// stopped reports that the loop is ending: nothing more is decided.
+	stopped bool
+	// leftUnanswered is the number of requests that had no answer when the loop ended.
+	leftUnanswered int
 }
 
 // New returns a proxy on an event loop. Connect must be called before Run or Serve. The error reports settings that the
@@ -148,6 +154,10 @@
 // Busy returns the number of requests that keep the proxy from being removed. It is safe for concurrent use.
 func (p *Proxy) Busy() int { return int(p.references.Load()) }
 
+// Transfers returns the number of requests whose long value is on its way to the client. They have no deadline: each ends
+// when its value is whole or makes no progress. It is safe for concurrent use.
+func (p *Proxy) Transfers() int { return int(p.transfers.Load()) }
+
 // Retire makes Acquire fail from now on. Open requests continue. It is safe for concurrent use.
 func (p *Proxy) Retire() { p.retired.Store(true) }
 
@@ -186,8 +196,17 @@
 	return longest
 }
 
-// Unanswered returns the number of requests without an answer. It may also be called after the loop has ended.
+// Unanswered returns the number of requests without an answer. After the loop has ended, it returns their number at that
+// time; any goroutine may call it then.
 func (p *Proxy) Unanswered() (n int) {
+	if p.stopped {
+		return p.leftUnanswered
+	}
+	return p.countOpen()
+}
+
+// countOpen returns the number of requests without an answer.
+func (p *Proxy) countOpen() (n int) {
 	for _, request := range p.requests {
 		if !request.ended {
 			n++
@@ -199,6 +218,9 @@
 // Step passes the queued events to the Balancer and executes the actions that it returns, in order. An action may
 // complete at once and thereby queue the next event.
 func (p *Proxy) Step() {
+	if p.stopped {
+		return
+	}
 	p.rejectOnLeaseExpiry()
 	for len(p.events) > 0 {
 		events := p.events
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -50,6 +50,8 @@
 	// pendingAttempts counts the attempts without a result.
 	pendingAttempts int
 	policyVersion   uint64
+	// streaming reports that a long value is on its way to the client. The request has no deadline then.
+	streaming bool
 	// ended reports that the request was answered or its client has disconnected.
 	ended bool
 	// donePending reports that the Balancer does not know of the end of the request yet.
@@ -60,11 +62,29 @@
 // attempt may start more than 100 ms after the client has disconnected.
 const disconnectCheckAfter = 30 * time.Millisecond
 
+// endedRetryAfter is the retry delay for clients whose request is rejected because the loop has ended: another pool or
+// process takes it.
+const endedRetryAfter = 100 * time.Millisecond
+
+// PostSubmit submits a request from another goroutine than the loop's. If the loop has ended, the request is rejected.
+func (p *Proxy) PostSubmit(request *Request) {
+	if request.counters == nil {
+		p.CountRequest(request)
+	}
+	if !p.Post(func() { p.Submit(request) }) {
+		p.answerUnregistered(request, Rejected, endedRetryAfter)
+	}
+}
+
 // Submit accepts a request for which the proxy was acquired.
 func (p *Proxy) Submit(request *Request) {
 	if request.counters == nil {
 		p.CountRequest(request)
 	}
+	if p.stopped {
+		p.answerUnregistered(request, Rejected, endedRetryAfter)
+		return
+	}
 	if retryAfter, closed := p.StartupBarrier.retryAfter(); closed {
 		p.answerUnregistered(request, Rejected, retryAfter)
 		return
@@ -217,6 +237,10 @@
 // finish ends a request. Its attempts in flight are cancelled, and no further attempt is sent.
 func (p *Proxy) finish(request *Request) {
 	request.ended = true
+	if request.streaming {
+		request.streaming = false
+		p.transfers.Add(-1)
+	}
 	delete(p.openIDs, request.ID)
 	request.deadlineTimer.Stop()
 	if waiting := request.reservation.waiting; waiting != nil {
@@ -229,6 +253,21 @@
 	p.forgetIfDone(request)
 }
 
+// answerLeft answers all requests that are left when the loop has ended, as nothing else will: a client would wait for
+// its answer for good. A request without an attempt can't have had an effect.
+func (p *Proxy) answerLeft() {
+	for _, request := range p.takeHeld() {
+		p.answerUnregistered(request, Rejected, endedRetryAfter)
+	}
+	for _, request := range p.requests {
+		if len(request.attempts) == 0 {
+			p.answer(request, Answer{Outcome: Rejected, RetryAfter: endedRetryAfter, Unavailable: true})
+			continue
+		}
+		p.answer(request, Answer{Outcome: Failed})
+	}
+}
+
 // forgetIfDone removes a request that has ended and has no attempt without a result.
 func (p *Proxy) forgetIfDone(request *Request) {
 	done := request.ended && request.pendingAttempts == 0 && !request.donePending
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -48,7 +48,7 @@
 }
 
 // start prepares the proxy for serving and starts its periodic work. The returned function closes the clients of
-// external systems and the loop.
+// external systems and the loop, and answers the requests that are left.
 func (p *Proxy) start() (end func()) {
 	p.Trace.Line("settings", "%s", strings.ReplaceAll(fmt.Sprintf("%+v", p.Rules().Settings), " ", ","))
 	p.endpointSource.Known()
@@ -64,8 +64,11 @@
 	return func() {
 		p.endpointSource.Stop()
 		p.counter.Close()
+		p.leftUnanswered = p.countOpen()
+		p.stopped = true
 		p.upstream.Close()
 		p.Close()
+		p.answerLeft()
 	}
 }
 
--- a/internal/service/hosted/reload.go
+++ b/internal/service/hosted/reload.go
@@ -181,14 +181,15 @@
 	p.proxy.SetAddresses(cfg.Node.Discovery, cfg.Node.Counter)
 }
 
-// removePool stops a pool that no route refers to any more, once its accepted requests are answered, or after the
-// longest client timeout plus proxy.AnswerMargin at the latest.
+// removePool stops a pool that no route refers to any more, once its accepted requests are answered. After the longest
+// client timeout plus proxy.AnswerMargin every request has had its answer, but for long values that are on their way:
+// they have no deadline, and are waited for as long as they make progress.
 func (s *Service) removePool(p *pool) {
 	defer s.removals.Done()
 	p.proxy.Retire()
 	p.proxy.RejectHeld()
 	giveUpAt := s.Now() + p.proxy.LongestTimeout() + proxy.AnswerMargin
-	for p.proxy.Busy() > 0 && s.Now() < giveUpAt {
+	for p.proxy.Busy() > 0 && (s.Now() < giveUpAt || p.proxy.Transfers() > 0) {
 		time.Sleep(drainInterval)
 	}
 	p.end()
--- a/internal/service/hosted/transfer_test.go
+++ b/internal/service/hosted/transfer_test.go
@@ -1,9 +1,11 @@
 package hosted
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -111,3 +113,66 @@
 	s.wantsWhole()
 	<-s.stopped
 }
+
+// TestLongValueOutlastsItsPool guards against a reload that replaces a pool and ends it while a long value is on its way:
+// the client would get neither the rest nor an end.
+func TestLongValueOutlastsItsPool(t *testing.T) {
+	for name, change := range map[string]func(s *slowTransfer){
+		"reload":       func(s *slowTransfer) { s.reload(s.config("more")) },
+		"two reloads":  func(s *slowTransfer) { s.reload(s.config("more")); s.reload(s.config("other")) },
+		"and back":     func(s *slowTransfer) { s.reload(s.config("more")); s.reload(s.config()) },
+		"and shutdown": func(s *slowTransfer) { s.reload(s.config("more")); s.stop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSlowTransfer(t)
+			change(s)
+			s.wantsWhole()
+		})
+	}
+}
+
+// TestStalledValueEndsWithItsPool verifies that a pool that a reload replaces does not keep a long value that makes no
+// progress: the client's connection ends amid the value once the bound between two pieces has passed.
+func TestStalledValueEndsWithItsPool(t *testing.T) {
+	t.Parallel()
+	s := startSlowTransfer(t)
+	s.reload(s.config("more"))
+	s.endpoint.NC.Close()
+	if _, err := io.ReadAll(s.client.In); err != nil && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("%v, want the end of the connection", err)
+	}
+}
+
+// TestEndedPoolAnswersWhatIsLeft guards against a client that waits for good because the event loop of its request has
+// ended: whoever stops a loop answers what is left, amid a value by the end of the connection.
+func TestEndedPoolAnswersWhatIsLeft(t *testing.T) {
+	s := startSlowTransfer(t)
+	waiting := peer.Dial(t, s.resp)
+	waiting.Command("Q.ASK", customers["free"], "2", "c=evaluate,t=open,d=600,units=1,spread=1,first=0")
+	s.mu.Lock()
+	var only *pool
+	for _, p := range s.pools {
+		only = p
+	}
+	s.mu.Unlock()
+	for open := make(chan int); ; time.Sleep(time.Millisecond) {
+		only.proxy.Post(func() { open <- only.proxy.Unanswered() })
+		if <-open == 2 {
+			break
+		}
+	}
+	close(only.stop)
+	<-only.ended
+	only.isStarted = false // nobody stops it again
+	if n := only.proxy.Unanswered(); n != 2 {
+		t.Errorf("%d requests were left, want 2", n)
+	}
+	if _, err := io.ReadAll(s.client.In); err != nil && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("%v, want the end of the connection amid the value", err)
+	}
+	waiting.Wants("-ERR failed")
+	late := peer.Dial(t, s.resp) // its request is posted to a loop that has ended
+	late.Command("Q.ASK", customers["free"], "3", "c=evaluate,t=open,d=600,units=1,spread=1,first=0")
+	late.WantsPrefix("-BUSY")
+}
