Fix: an announced long value takes the client's deadline away

Cause: the attempt's and the request's timers were stopped at the head, and the balancer was told that a response had started, so that only the bound of 5 s between two pieces was left. Nothing had gone to the client by then.

Change: the first byte of the value is awaited before its sink is asked for (Reader.AwaitLongValue). Until then the attempt keeps its deadline, and another attempt is allowed. From then on progress bounds the value, as before.

--- a/internal/resp/longvalue.go
+++ b/internal/resp/longvalue.go
@@ -18,6 +18,16 @@
 	return items, size
 }
 
+// AwaitLongValue waits until the first byte of a long value has come, which it leaves to ReadLongValue.
+func (r *Reader) AwaitLongValue() error {
+	for !r.HasPartialMessage() {
+		if err := r.fill(defaultBufferBytes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // ReadLongValue reads a part of a long value, first from the buffer and then from the source.
 func (r *Reader) ReadLongValue(b []byte) (int, error) {
 	if n := copy(b, r.buffer[r.start:]); n > 0 {
--- a/internal/upstream/longvalue.go
+++ b/internal/upstream/longvalue.go
@@ -24,9 +24,16 @@
 var errNoConsumer = errors.New("nobody accepts the long value")
 
 // forwardLongValue reads an answer that begins with a long value and streams the value to a sink. It reads no more than
-// the sink has accepted, so a slow client slows down the endpoint. The owner learns of the end of the value at once.
+// the sink has accepted, so a slow client slows down the endpoint. The owner learns of the end of the value at once. An
+// endpoint that has only announced the value has given nothing yet, so the attempt keeps its deadline until the first
+// bytes come.
 func (c *connection) forwardLongValue() (reply, error) {
 	items, size := c.reader.StartLongValue()
+	c.longValue = true
+	c.valueTimeLeft = cmp.Or(c.pool.cfg.ValueTimeout, defaultValueTimeout)
+	if err := c.reader.AwaitLongValue(); err != nil {
+		return reply{}, err
+	}
 	sink := c.beginLongValue(size)
 	if sink == nil {
 		c.noConsumer.Store(true)
@@ -41,8 +48,6 @@
 	default:
 		chunk = minLongChunkBytes
 	}
-	c.longValue = true
-	c.valueTimeLeft = cmp.Or(c.pool.cfg.ValueTimeout, defaultValueTimeout)
 	err := c.copyLongValue(sink, size, make([]byte, chunk))
 	c.longValue = false
 	if err != nil {
@@ -129,7 +134,8 @@
 	}
 }
 
-// handleLongValue is the part of beginLongValue that runs on the loop. From here on the attempt has no deadline.
+// handleLongValue is the part of beginLongValue that runs on the loop. The first bytes of the value have come. From here
+// on the attempt has no deadline: the value is bounded by the time between two pieces.
 func (p *Pool) handleLongValue(c *connection, size int) Sink {
 	attempt := c.attempt
 	if c.closed || attempt == nil || c.writeState.Load() != writeComplete {
