Fix: an id runs twice when its client leaves and comes again

Cause: an id was known only while its request was open. When the client leaves, the request ends, though its attempt may have run or may yet, and neither another pool nor another process knew the id.

All pools of a process share it, and an upgrade hands it over beside the state, whose recorded form is unchanged.

What an old process sends between its offer and the move of its connections is not handed over (docs/incidents/id-run-twice.md).

--- a/cmd/gapgap/transfer_test.go
+++ b/cmd/gapgap/transfer_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -111,3 +112,57 @@
 	}
 	p.stop()
 }
+
+// TestIDRunsOnceAfterItsClientLeft guards against a request of a class that must not be repeated and that runs twice: its
+// client leaves while it runs, and comes again with the same ID at the same process or at the next one of an upgrade.
+func TestIDRunsOnceAfterItsClientLeft(t *testing.T) {
+	for name, change := range map[string]func(n *node){
+		"same process": func(*node) {},
+		"upgrade":      func(n *node) { n.start().waitReady() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := newNode(t, 0, flagserver.Config{})
+			ln := peer.Listen(t)
+			n.agent.Set(catalog.Serving("s-0", ln.Addr().String()))
+			text, err := os.ReadFile(n.file)
+			if err == nil {
+				unsafe := strings.Replace(string(text), `"effect":"keyed"`, `"effect":"unsafe"`, 1)
+				err = os.WriteFile(n.file, []byte(unsafe), 0o600)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := n.start()
+			p.waitReady()
+			ask := func(id string) *client {
+				c, err := n.dial()
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { c.nc.Close() })
+				list := strings.Replace(shortList, "evaluate", "change", 1)
+				io.WriteString(c.nc, peer.Command("Q.DO", peer.Customer, id, list, "body"))
+				return c
+			}
+			c := ask("1")
+			peer.Accept(t, ln).Message()
+			change(n)
+			p.cmd.Process.Signal(syscall.SIGHUP) // changes nothing
+			c.nc.Close()
+			time.Sleep(50 * time.Millisecond) // the process has seen the end
+			if line, err := ask("1").in.ReadString('\n'); err != nil || !strings.HasPrefix(line, "-ERR") {
+				t.Errorf("the id again: %q and %v", line, err)
+			}
+			other := ask("2")
+			b := peer.Accept(t, ln)
+			if m := b.Message(); m[2] != "2" {
+				t.Errorf("request %q runs", m[2])
+			}
+			b.Write(peer.Answer("value"))
+			if line, err := other.in.ReadString('\n'); err != nil || line != "$5\r\n" {
+				t.Errorf("another id: %q and %v", line, err)
+			}
+		})
+	}
+}
--- a/internal/frontend/resp2/front.go
+++ b/internal/frontend/resp2/front.go
@@ -277,6 +277,8 @@
 		line = []byte("-ERR no answer in time\r\n")
 	case proxy.Duplicate:
 		line = []byte("-ERR the id is that of an open request\r\n")
+	case proxy.Repeated:
+		line = []byte("-ERR the id is that of a request that may have run\r\n")
 	default:
 		line = []byte("-ERR failed\r\n")
 	}
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -25,6 +25,8 @@
 	Duplicate
 	// Admitted is the positive answer to a request with AdmitOnly.
 	Admitted
+	// Repeated means that an earlier request with the same ID may have run, and must not run again. Nothing was done.
+	Repeated
 )
 
 // statsOutcome maps an outcome to the one reported to operators.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -60,7 +60,7 @@
 	}
 	a.request.pendingAttempts--
 	if a.sent && mayHaveRun(result.Status) {
-		a.request.reservation.mayHaveRun = true
+		a.request.mayHaveRun = true
 	}
 	if a.proxy.Trace.Enabled() {
 		a.proxy.Trace.Line("attempt", "id=%d no=%d class=%d to=%s status=%d took=%.1f",
@@ -121,5 +121,8 @@
 // send passes an attempt to Upstream.
 func (p *Proxy) send(a *attempt) {
 	a.sent = true
+	if request := a.request; request.unrepeatable {
+		p.SentIDs.add(request.idHash, request.deadline+sentIDRetention, p.Coarse())
+	}
 	p.upstream.Send(&a.Attempt)
 }
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -55,6 +55,9 @@
 	StartupBarrier *StartupBarrier
 	// KeyReserver reserves idempotency keys, for classes that require it. nil means that no keys are reserved.
 	KeyReserver KeyReserver
+	// SentIDs remembers the IDs of requests that must not run twice. Pools of one process share it. If it is nil, the
+	// proxy has its own.
+	SentIDs *SentIDs
 	// Trace receives a line for each event. nil disables tracing.
 	Trace *trace.Log
 	// Seed seeds the random numbers of the Balancer.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -80,6 +80,9 @@
 	if cfg.Stats == nil {
 		cfg.Stats = stats.New()
 	}
+	if cfg.SentIDs == nil {
+		cfg.SentIDs = NewSentIDs()
+	}
 	p := &Proxy{
 		Config:         cfg,
 		Loop:           l,
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -46,7 +46,12 @@
 	deadline      time.Duration
 	deadlineTimer *eventloop.Timer
 	reservation   keyReservation
-	attempts      []*attempt
+	// unrepeatable reports that the request must not run twice: its ID is remembered, by idHash, while it may have run.
+	unrepeatable bool
+	idHash       idHash
+	// mayHaveRun reports that an attempt that was sent may have had an effect.
+	mayHaveRun bool
+	attempts   []*attempt
 	// pendingAttempts counts the attempts without a result.
 	pendingAttempts int
 	policyVersion   uint64
@@ -104,6 +109,14 @@
 			p.answerUnregistered(request, Duplicate, 0)
 			return
 		}
+		if p.mustNotRepeat(request) {
+			request.idHash = hashID(request.Customer, request.ID)
+			if p.SentIDs.contains(request.idHash, p.Coarse()) {
+				p.answerUnregistered(request, Repeated, 0)
+				return
+			}
+			request.unrepeatable = true
+		}
 		p.openIDs[request.ID] = true
 	}
 	p.open(request)
@@ -276,7 +289,10 @@
 	}
 	delete(p.requests, request.id)
 	if request.reservation.id != 0 {
-		p.KeyReserver.End(request.reservation.id, request.reservation.mayHaveRun)
+		p.KeyReserver.End(request.reservation.id, request.mayHaveRun)
+	}
+	if request.unrepeatable && !request.mayHaveRun {
+		p.SentIDs.remove(request.idHash)
 	}
 	p.Release()
 }
--- a/internal/proxy/reservation.go
+++ b/internal/proxy/reservation.go
@@ -20,8 +20,6 @@
 	id uint64
 	// waiting is the attempt to send once the key is reserved.
 	waiting *attempt
-	// mayHaveRun reports that an attempt that was sent may have had an effect.
-	mayHaveRun bool
 }
 
 // reservationState is the progress of a keyReservation.
--- a/internal/service/hosted/pool.go
+++ b/internal/service/hosted/pool.go
@@ -50,6 +50,7 @@
 		Space:         cfg.CounterSpace,
 		Scheduler:     s.poolFlow(cfg),
 		DecisionLease: s.policy.decisionLease(),
+		SentIDs:       s.sentIDs,
 		UpdateReceiver: func(poolProxy *proxy.Proxy) func(endpoint.Update) {
 			p.inbox = s.inboxes.add(poolProxy)
 			return p.inbox.applyUpdate
--- a/internal/service/hosted/service.go
+++ b/internal/service/hosted/service.go
@@ -38,6 +38,8 @@
 	done      chan struct{}
 	router    router
 	inboxes   endpointInboxes
+	// sentIDs outlives the pools: a request of a pool that was replaced must not run again in the next one.
+	sentIDs *proxy.SentIDs
 	// cpuScheduler is nil if the pools do not share the CPU by weight.
 	cpuScheduler *cpuscheduler.Scheduler
 	// limits is nil if the file has no [[pool]] tables.
@@ -87,6 +89,7 @@
 		disk:      vfs.OrOS(cfg.Disk),
 		pools:     map[string]*pool{},
 		inboxes:   newEndpointInboxes(),
+		sentIDs:   proxy.NewSentIDs(),
 	}
 	s.clock.SkewClock(cfg.Ahead)
 	s.Env = service.NewEnv(s.clock, cfg.Node.MemoryMB, cfg.Node.Sockets, &s.router)
--- a/internal/service/hosted/transfer_test.go
+++ b/internal/service/hosted/transfer_test.go
@@ -176,3 +176,33 @@
 	late.Command("Q.ASK", customers["free"], "3", "c=evaluate,t=open,d=600,units=1,spread=1,first=0")
 	late.WantsPrefix("-BUSY")
 }
+
+// TestIDRunsOnceAcrossPools guards against a request of a class that must not be repeated and that runs twice: its client
+// leaves while it runs, a reload replaces the pool, and the client comes again with the same ID.
+func TestIDRunsOnceAcrossPools(t *testing.T) {
+	const keyed, unsafe = "effect = \"keyed\"\nwindow = \"2s\"", `effect = "unsafe"`
+	s := &slowTransfer{t: t, env: startEnv(t, 0)}
+	ln := peer.Listen(t)
+	s.env.agent.Set(catalog.Serving("slow", ln.Addr().String()))
+	s.gateway = s.env.startService(strings.Replace(s.config(), keyed, unsafe, 1))
+	ask := func(id string) *peer.Peer {
+		c := peer.Dial(t, s.resp)
+		c.Command("Q.DO", customers["free"], id, "c=change,t=open,d=600,units=1,spread=1,first=0", "body")
+		return c
+	}
+	c := ask("1")
+	peer.Accept(t, ln).Message()
+	c.NC.Close()
+	s.reload(strings.Replace(s.config("more"), keyed, unsafe, 1))
+	for s.Conns.Len() > 0 { // the service has seen the end
+		time.Sleep(time.Millisecond)
+	}
+	ask("1").WantsPrefix("-ERR")
+	other := ask("2")
+	b := peer.Accept(t, ln)
+	if m := b.Message(); m[2] != "2" {
+		t.Errorf("request %q runs", m[2])
+	}
+	b.Write(peer.Answer("value"))
+	other.Wants("value")
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -60,6 +60,8 @@
 	StartupBarrier *proxy.StartupBarrier
 	// KeyReserver reserves idempotency keys; nil: there are none.
 	KeyReserver proxy.KeyReserver
+	// SentIDs remembers the IDs of requests that must not run twice; nil: the proxy has its own.
+	SentIDs *proxy.SentIDs
 	// OnAnswer is called with each answer; nil: not called.
 	OnAnswer func(class int, v proxy.Outcome, took time.Duration)
 	Figures  *stats.Counters // nil: not collected
@@ -85,7 +87,7 @@
 	}
 	p, err := proxy.New(l, proxy.Config{Trace: tr, Name: cfg.Name, Scheduler: parts.Scheduler,
 		DecisionLease: parts.DecisionLease, StartupBarrier: parts.StartupBarrier, KeyReserver: parts.KeyReserver,
-		Memory: parts.Memory, Clients: parts.Clients, OnAnswer: parts.OnAnswer, Start: cfg.Rules(), Seed: cfg.Seed,
+		Memory: parts.Memory, Clients: parts.Clients, OnAnswer: parts.OnAnswer, SentIDs: parts.SentIDs, Start: cfg.Rules(), Seed: cfg.Seed,
 		Stats: parts.Figures}, log)
 	if err != nil {
 		return nil, nil, err
--- a/internal/service/upgrade.go
+++ b/internal/service/upgrade.go
@@ -31,11 +31,18 @@
 	Known  discovery.EndpointList `json:"Known"`
 }
 
+// offeredState is processState with what older versions neither send nor read.
+type offeredState struct {
+	processState
+	// SentIDs are the IDs of requests that must not run twice.
+	SentIDs []proxy.SentID `json:"SentIDs,omitempty"`
+}
+
 // Takeover is what a new process has received from the old one.
 type Takeover struct {
 	Listener net.Listener
 	link     *handover.Link
-	state    processState
+	state    offeredState
 }
 
 // BeginTakeover asks the process that serves the same address, if one shares the state directory, to hand over. It
@@ -85,6 +92,7 @@
 		return err
 	}
 	g.ImportHandover(t.state.Core)
+	g.SentIDs.Import(t.state.SentIDs, g.Now())
 	g.predecessor = t.link
 	return nil
 }
@@ -175,7 +183,10 @@
 		g.resumeServing(ctx, clients, proxy.HandoverState{})
 		return err
 	}
-	state, err := json.Marshal(processState{Listen: g.cfg.Listen, Core: exported, Known: g.endpointList(exportCtx)})
+	state, err := json.Marshal(offeredState{
+		processState: processState{Listen: g.cfg.Listen, Core: exported, Known: g.endpointList(exportCtx)},
+		SentIDs:      g.SentIDs.Export(),
+	})
 	if err == nil {
 		err = link.Offer(state, socket)
 	}
