--- a/cmd/gapgap/transfer_test.go
+++ b/cmd/gapgap/transfer_test.go
@@ -15,8 +15,8 @@
 	"gapgap/internal/fake/peer"
 )
 
-// slowValue is a long value that its endpoint writes in pieces. It takes longer than the 3.6 s after which every request
-// of the tests' configuration has timed out in a shutdown.
+// slowValue is a long value that its endpoint writes in pieces. It takes longer than the 3.6 s after which every
+// request of the tests' configuration has timed out in a shutdown.
 const (
 	slowValueBytes = 1 << 20
 	slowPieces     = 50
@@ -107,14 +107,16 @@
 		t.Fatal(err)
 	}
 	p.cmd.Process.Signal(syscall.SIGTERM)
-	if got, err := io.Copy(io.Discard, c.in); got >= slowValueBytes || err != nil && !errors.Is(err, syscall.ECONNRESET) {
+	got, err := io.Copy(io.Discard, c.in)
+	if got >= slowValueBytes || err != nil && !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("%d bytes and %v, want the end amid the value", got, err)
 	}
 	p.stop()
 }
 
-// TestIDRunsOnceAfterItsClientLeft guards against a request of a class that must not be repeated and that runs twice: its
-// client leaves while it runs, and comes again with the same ID at the same process or at the next one of an upgrade.
+// TestIDRunsOnceAfterItsClientLeft guards against a request of a class that must not be repeated and that runs twice:
+// its client leaves while it runs, and comes again with the same ID at the same process or at the next one of an
+// upgrade.
 func TestIDRunsOnceAfterItsClientLeft(t *testing.T) {
 	for name, change := range map[string]func(n *node){
 		"same process": func(*node) {},
--- a/internal/eventloop/close_test.go
+++ b/internal/eventloop/close_test.go
@@ -6,8 +6,8 @@
 	"testing"
 )
 
-// TestTasksAroundClose guards against a task that is dropped in silence because the loop has ended: whatever Post accepts
-// runs, and it tells what it does not accept.
+// TestTasksAroundClose guards against a task that is dropped in silence because the loop has ended: whatever Post
+// accepts runs, and it tells what it does not accept.
 func TestTasksAroundClose(t *testing.T) {
 	const goroutines, tasks = 8, 2000
 	for range 20 {
--- a/internal/frontend/admin/admin.go
+++ b/internal/frontend/admin/admin.go
@@ -136,8 +136,8 @@
 	return true
 }
 
-// removeWaiting ends the wait for a connection's line. It returns false if admit has ended the connection for reading and
-// no longer counts it.
+// removeWaiting ends the wait for a connection's line. It returns false if admit has ended the connection for reading
+// and no longer counts it.
 func (f *Frontend) removeWaiting(conn net.Conn) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/frontend/extauthz/conn.go
+++ b/internal/frontend/extauthz/conn.go
@@ -78,8 +78,8 @@
 	return c
 }
 
-// Read implements [net.Conn]. When the connection is to end, it decides whether it does: only the reading goroutine knows
-// what has been read.
+// Read implements [net.Conn]. When the connection is to end, it decides whether it does: only the reading goroutine
+// knows what has been read.
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
--- a/internal/frontend/extauthz/conn_test.go
+++ b/internal/frontend/extauthz/conn_test.go
@@ -18,8 +18,8 @@
 	err  error
 }
 
-// startConn connects a client and reads once from its connection, as net/http does. The connection counts as idle for an
-// hour.
+// startConn connects a client and reads once from its connection, as net/http does. The connection counts as idle for
+// an hour.
 func startConn(t *testing.T, gates peer.GatedConn) (*conn, *peer.Peer, <-chan readResult) {
 	t.Helper()
 	ln := peer.Listen(t)
--- a/internal/frontend/resp2/client.go
+++ b/internal/frontend/resp2/client.go
@@ -226,7 +226,8 @@
 	// errInterrupted is returned by Read when another goroutine has ended a read: the connection is to be handed to
 	// another process, or to end.
 	errInterrupted = errors.New("reading was interrupted")
-	// errWriteClosed is returned by Read once the write side is closed: the client may have sent more before it noticed.
+	// errWriteClosed is returned by Read once the write side is closed: the client may have sent more before it
+	// noticed.
 	errWriteClosed = errors.New("the connection is closed for writing")
 )
 
--- a/internal/frontend/resp2/end.go
+++ b/internal/frontend/resp2/end.go
@@ -27,9 +27,9 @@
 // interruptedDeadline is a read deadline in the past, which ends a read at once.
 var interruptedDeadline = time.Unix(1, 0)
 
-// endIfDone ends a connection that is to end if no answer is owed on it and nothing remains to be read. Only the reading
-// goroutine can decide that: bytes that it has just read, or that have arrived meanwhile, may be a request. It returns
-// nil if reading goes on. The caller holds mu.
+// endIfDone ends a connection that is to end if no answer is owed on it and nothing remains to be read. Only the
+// reading goroutine can decide that: bytes that it has just read, or that have arrived meanwhile, may be a request. It
+// returns nil if reading goes on. The caller holds mu.
 func (c *client) endIfDone() error {
 	switch {
 	case c.writeClosed:
@@ -65,8 +65,8 @@
 	return c.commandsRead < last.lastCommand
 }
 
-// endIfIdle ends a connection that is to end, if no answer is owed on it. If commands are still read from it, its reader
-// does that: see endIfDone. The caller holds mu.
+// endIfIdle ends a connection that is to end, if no answer is owed on it. If commands are still read from it, its
+// reader does that: see endIfDone. The caller holds mu.
 func (c *client) endIfIdle() {
 	switch {
 	case !c.closeWhenAnswered || !c.owesNothing() || c.writeClosed || c.closed:
@@ -191,9 +191,9 @@
 }
 
 // shutDown ends a connection on which no answer is owed. It closes the write side first, and the connection when the
-// client has closed its side or the linger timeout has passed: closing a socket with unread bytes resets the connection,
-// and the reset may reach the client before the last answer does. An evicted connection is closed at once, unless the
-// rest of its input is rejected. The caller holds mu.
+// client has closed its side or the linger timeout has passed: closing a socket with unread bytes resets the
+// connection, and the reset may reach the client before the last answer does. An evicted connection is closed at once,
+// unless the rest of its input is rejected. The caller holds mu.
 func (c *client) shutDown() {
 	c.isCountedLingering = c.rejected
 	half, ok := c.conn.(interface{ CloseWrite() error })
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -157,8 +157,8 @@
 // Busy returns the number of requests that keep the proxy from being removed. It is safe for concurrent use.
 func (p *Proxy) Busy() int { return int(p.references.Load()) }
 
-// Transfers returns the number of requests whose long value is on its way to the client. They have no deadline: each ends
-// when its value is whole or makes no progress. It is safe for concurrent use.
+// Transfers returns the number of requests whose long value is on its way to the client. They have no deadline: each
+// ends when its value is whole or makes no progress. It is safe for concurrent use.
 func (p *Proxy) Transfers() int { return int(p.transfers.Load()) }
 
 // Retire makes Acquire fail from now on. Open requests continue. It is safe for concurrent use.
@@ -199,8 +199,8 @@
 	return longest
 }
 
-// Unanswered returns the number of requests without an answer. After the loop has ended, it returns their number at that
-// time; any goroutine may call it then.
+// Unanswered returns the number of requests without an answer. After the loop has ended, it returns their number at
+// that time; any goroutine may call it then.
 func (p *Proxy) Unanswered() (n int) {
 	if p.stopped {
 		return p.leftUnanswered
--- a/internal/proxy/sentids_test.go
+++ b/internal/proxy/sentids_test.go
@@ -18,8 +18,8 @@
 	return request, client
 }
 
-// TestIDOfClientThatLeftDoesNotRunAgain guards against a request of a class that must not be repeated and that runs twice
-// because its client has left and comes again with the same ID.
+// TestIDOfClientThatLeftDoesNotRunAgain guards against a request of a class that must not be repeated and that runs
+// twice because its client has left and comes again with the same ID.
 func TestIDOfClientThatLeftDoesNotRunAgain(t *testing.T) {
 	for name, test := range map[string]struct {
 		status balancer.Status
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -30,8 +30,8 @@
 //  1. New connections and requests are accepted for AcceptAfterTerm.
 //  2. Listeners and idle connections are closed. The process ends once no connection is left.
 //  3. After the longest client timeout and AnswerMargin every request has had its answer, so the process also ends if
-//     connections are left on which nothing moves. Only a transfer is waited for: it ends by itself, as it is closed when
-//     it makes no progress.
+//     connections are left on which nothing moves. Only a transfer is waited for: it ends by itself, as it is closed
+//     when it makes no progress.
 type Shutdown struct {
 	closeListenersAt time.Duration
 	giveUpAt         time.Duration
--- a/internal/service/hosted/transfer_test.go
+++ b/internal/service/hosted/transfer_test.go
@@ -114,8 +114,8 @@
 	<-s.stopped
 }
 
-// TestLongValueOutlastsItsPool guards against a reload that replaces a pool and ends it while a long value is on its way:
-// the client would get neither the rest nor an end.
+// TestLongValueOutlastsItsPool guards against a reload that replaces a pool and ends it while a long value is on its
+// way: the client would get neither the rest nor an end.
 func TestLongValueOutlastsItsPool(t *testing.T) {
 	for name, change := range map[string]func(s *slowTransfer){
 		"reload":       func(s *slowTransfer) { s.reload(s.config("more")) },
@@ -138,7 +138,7 @@
 	t.Parallel()
 	s := startSlowTransfer(t)
 	s.reload(s.config("more"))
-	s.endpoint.NC.Close()
+	_ = s.endpoint.NC.Close()
 	if _, err := io.ReadAll(s.client.In); err != nil && !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("%v, want the end of the connection", err)
 	}
@@ -177,8 +177,8 @@
 	late.WantsPrefix("-BUSY")
 }
 
-// TestIDRunsOnceAcrossPools guards against a request of a class that must not be repeated and that runs twice: its client
-// leaves while it runs, a reload replaces the pool, and the client comes again with the same ID.
+// TestIDRunsOnceAcrossPools guards against a request of a class that must not be repeated and that runs twice: its
+// client leaves while it runs, a reload replaces the pool, and the client comes again with the same ID.
 func TestIDRunsOnceAcrossPools(t *testing.T) {
 	const keyed, unsafe = "effect = \"keyed\"\nwindow = \"2s\"", `effect = "unsafe"`
 	s := &slowTransfer{t: t, env: startEnv(t, 0)}
@@ -192,7 +192,7 @@
 	}
 	c := ask("1")
 	peer.Accept(t, ln).Message()
-	c.NC.Close()
+	_ = c.NC.Close()
 	s.reload(strings.Replace(s.config("more"), keyed, unsafe, 1))
 	for s.Conns.Len() > 0 { // the service has seen the end
 		time.Sleep(time.Millisecond)
--- a/internal/upstream/longvalue.go
+++ b/internal/upstream/longvalue.go
@@ -134,8 +134,8 @@
 	}
 }
 
-// handleLongValue is the part of beginLongValue that runs on the loop. The first bytes of the value have come. From here
-// on the attempt has no deadline: the value is bounded by the time between two pieces.
+// handleLongValue is the part of beginLongValue that runs on the loop. The first bytes of the value have come. From
+// here on the attempt has no deadline: the value is bounded by the time between two pieces.
 func (p *Pool) handleLongValue(c *connection, size int) Sink {
 	attempt := c.attempt
 	if c.closed || attempt == nil || c.writeState.Load() != writeComplete {
