--- a/internal/service/hosted/transfer_test.go
+++ b/internal/service/hosted/transfer_test.go
@@ -206,3 +206,32 @@
 	b.Write(peer.Answer("value"))
 	other.Wants("value")
 }
+
+// TestLongValueOutlastsARemovedPool is like TestLongValueOutlastsItsPool for a pool that the new configuration does not
+// have any more: its customers go to another one.
+func TestLongValueOutlastsARemovedPool(t *testing.T) {
+	short := []string{classTimes, shortClassTimes}
+	w := startPools(t, "a", "", "a", "b", short...)
+	ln := peer.Listen(t)
+	w.agents["a"].Set(catalog.Serving("slow", ln.Addr().String()))
+	s := &slowTransfer{gateway: w.gateway, t: t, env: w.testEnv, written: make(chan error, 1)}
+	accepted := make(chan *peer.Peer, 1)
+	go func() { accepted <- peer.Accept(t, ln) }()
+	for s.endpoint == nil { // at first the pool may know its former endpoint only
+		s.client = peer.Dial(t, s.resp)
+		s.client.Command("Q.ASK", customers["small"], "1", "c=evaluate,t=open,d=600,units=1,spread=1,first=0")
+		select {
+		case s.endpoint = <-accepted:
+		case <-time.After(slowInterval):
+		}
+	}
+	s.endpoint.Message()
+	go func() { s.written <- s.write() }()
+	if _, err := s.client.In.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	s.reload(strings.ReplaceAll(w.configText("b", "", "b"), classTimes, shortClassTimes))
+	s.wantsWhole()
+	s.client.Command("Q.ASK", customers["small"], "2", "c=evaluate,t=open,d=600,units=1,spread=1,first=0")
+	s.client.Wants("from b")
+}
