Fix: another attempt's answer can cut off a long value that is on its way

Found by reading, where second copies are allowed: when one attempt of a request streams a long value, another one goes on. A short answer of it ended the client's connection amid the value; a long one was written into the same answer.

Change: once a value is on its way, the other attempts of its request end, a further one is not sent, and no second value gets a sink. Also one flag of an evicted connection is read under its lock.

Measured: TestOnlyOneAttemptStreams fails before (no attempt cancelled, two streams) and passes with the race detector.

--- a/internal/frontend/resp2/end.go
+++ b/internal/frontend/resp2/end.go
@@ -89,9 +89,10 @@
 // refusePartialCommand answers a command of which only a part was read, on a connection that is to end.
 func (c *client) refusePartialCommand() {
 	c.mu.Lock()
-	c.rejected = c.evicted
+	isEvicted := c.evicted
+	c.rejected = isEvicted
 	c.mu.Unlock()
-	if c.evicted {
+	if isEvicted {
 		c.front.env.Conns.Remove(c) // frees its place at once
 	}
 	c.answerAndClose("-BUSY\r\n")
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -24,13 +24,18 @@
 // StartLongValue implements upstream.Owner. From here on the request has no deadline and gets no further attempts.
 func (a *attempt) StartLongValue(size int) upstream.Sink {
 	streamer, ok := a.request.Client.(Streamer)
-	if !ok || a.request.ended {
+	if !ok || a.request.ended || a.request.streaming {
 		return nil
 	}
 	a.request.deadlineTimer.Stop()
 	a.responseStarted = true
 	a.request.streaming = true
 	a.proxy.transfers.Add(1)
+	for _, other := range a.request.attempts { // their answers could only cut off this one
+		if other != a {
+			a.proxy.upstream.Cancel(&other.Attempt)
+		}
+	}
 	a.proxy.Enqueue(balancer.FirstByte{ID: a.request.id, Attempt: a.number})
 	return streamer.Stream(size)
 }
@@ -87,8 +92,8 @@
 	return true
 }
 
-// dispatch starts an attempt. It ends the attempt at once as not sent if the request has ended, its client has
-// disconnected, its time is up, or another attempt is in flight and hedging is not allowed.
+// dispatch starts an attempt. It ends the attempt at once as not sent if the request has ended or its value is on its
+// way, its client has disconnected, its time is up, or another attempt is in flight and hedging is not allowed.
 func (p *Proxy) dispatch(request *Request, action balancer.Dispatch) {
 	now := p.Now()
 	a := &attempt{proxy: p, request: request, number: len(request.attempts)}
@@ -105,7 +110,7 @@
 	request.attempts = append(request.attempts, a)
 	request.pendingAttempts++
 	settings := p.Rules().Settings
-	if request.ended || a.Deadline <= now || p.endIfClientGone(request, request.At) ||
+	if request.ended || request.streaming || a.Deadline <= now || p.endIfClientGone(request, request.At) ||
 		request.pendingAttempts > 1 && !settings.AllowHedging {
 		a.End(balancer.NotSent)
 		return
