--- a/internal/proxy/streaming_test.go
+++ b/internal/proxy/streaming_test.go
@@ -22,8 +22,8 @@
 
 func (discardSink) Write([]byte) error { return nil }
 
-// TestOnlyOneAttemptStreams guards against a long value that is cut off by the answer of another attempt of its request:
-// once it is on its way, the other attempts end, and no further one is sent.
+// TestOnlyOneAttemptStreams guards against a long value that is cut off by the answer of another attempt of its
+// request: once it is on its way, the other attempts end, and no further one is sent.
 func TestOnlyOneAttemptStreams(t *testing.T) {
 	p, s := newProxy(t)
 	p.Rules().Settings.AllowHedging = true
