Fix: a keyed request runs in two zones when the settings do not name one of them

Cause: a zone that was not among the names of the start had the number 0, that of the first zone, and a reload changed neither. Evidence: TestZonesThatAreNotListedAreNotOne fails before in its three cases (requests ran in dc1 and dc2).

Change: a zone that is not named has a number of its own (ZoneNumber). Zones keep the numbers of the start, and a reload that names them in another order is translated, as the gateway's own zone would become another one.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -166,12 +166,12 @@
 	w.sink(update)
 }
 
-// entry converts one endpoint. Unknown zones and kinds count as the first one.
+// entry converts one endpoint. An unknown kind counts as the first one.
 func (w *Watch) entry(entry Endpoint, state balancer.EndpointState) endpoint.Entry {
 	return endpoint.Entry{
 		Endpoint: balancer.Endpoint{
 			Name:      entry.Name,
-			Zone:      indexOf(w.cfg.Zones, entry.Zone),
+			Zone:      ZoneNumber(w.cfg.Zones, entry.Zone),
 			Kind:      indexOf(w.cfg.Kinds, entry.Type),
 			Cell:      entry.Group,
 			State:     state,
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"hash/fnv"
 	"slices"
 
 	"gapgap/internal/balancer"
@@ -39,3 +40,14 @@
 
 // indexOf returns the index of a name, or 0 if it is unknown.
 func indexOf(names []string, name string) int { return max(0, slices.Index(names, name)) }
+
+// ZoneNumber returns the number of a zone: the index of its name, or for a name that is not listed one of its own, so
+// that endpoints of two zones are never taken for those of one. An endpoint without a zone counts as in the first one.
+func ZoneNumber(names []string, name string) int {
+	if i := slices.Index(names, name); i >= 0 || name == "" {
+		return max(0, i)
+	}
+	hash := fnv.New32a()
+	hash.Write([]byte(name))
+	return len(names) + int(hash.Sum32())
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -183,7 +183,7 @@
 		err = cfg.CheckReload(g.inUse)
 	}
 	if err == nil {
-		err = g.UpdateSettings(cfg.Rules())
+		err = g.UpdateSettings(g.rulesFor(cfg))
 	}
 	if err != nil {
 		g.Stats.Invalid.Add(1)
@@ -195,6 +195,16 @@
 	return nil
 }
 
+// rulesFor returns the rules of a new configuration. Zones keep the numbers that they had at the start, as the endpoint
+// list is numbered by these.
+func (g *Gateway) rulesFor(cfg *Config) proxy.Rules {
+	rules := cfg.Rules()
+	if zones := cfg.Transport.Zones; rules.Settings.Zone < len(zones) {
+		rules.Settings.Zone = discovery.ZoneNumber(g.cfg.Transport.Zones, zones[rules.Settings.Zone])
+	}
+	return rules
+}
+
 // Serve serves the clients of a listener until the context ends, then answers the requests that were accepted and
 // returns. It takes operators' commands at the admin listener, which may be nil.
 func (g *Gateway) Serve(ctx context.Context, ln, adminListener net.Listener) {
