--- a/cmd/gapgap/transfer_test.go
+++ b/cmd/gapgap/transfer_test.go
@@ -36,6 +36,23 @@
 	return nil
 }
 
+// startTransfer starts a process with one endpoint, and a request on a connection to that endpoint.
+func startTransfer(t *testing.T) (n *node, p *process, c *client, b *peer.Peer) {
+	t.Helper()
+	n = newNode(t, 0, flagserver.Config{})
+	ln := peer.Listen(t)
+	n.agent.Set(catalog.Serving("s-0", ln.Addr().String()))
+	p = n.start()
+	p.waitReady()
+	c, err := n.dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.nc.Close() })
+	io.WriteString(c.nc, peer.Command("Q.ASK", peer.Customer, "1", shortList))
+	return n, p, c, peer.Accept(t, ln)
+}
+
 // TestLongValueOutlastsItsProcess guards against a process that is told to end and cuts off a long value which its
 // endpoint still writes: at a planned restart, in an upgrade, and with a reload in between.
 func TestLongValueOutlastsItsProcess(t *testing.T) {
@@ -49,19 +66,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			n := newNode(t, 0, flagserver.Config{})
-			ln := peer.Listen(t)
-			n.agent.Set(catalog.Serving("s-0", ln.Addr().String()))
-			p := n.start()
-			p.waitReady()
-			c, err := n.dial()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.nc.Close()
-			io.WriteString(c.nc, peer.Command("Q.ASK", peer.Customer, "1", shortList))
+			n, p, c, b := startTransfer(t)
 			written := make(chan error, 1)
-			b := peer.Accept(t, ln)
 			go func() { written <- writeSlowValue(b) }()
 			if line, err := c.in.ReadString('\n'); err != nil || line != fmt.Sprintf("$%d\r\n", slowValueBytes) {
 				t.Fatalf("%q and %v", line, err)
@@ -89,18 +95,7 @@
 // makes no progress: it ends once the bound of 5 s between two pieces has passed.
 func TestStalledValueDoesNotKeepItsProcess(t *testing.T) {
 	t.Parallel()
-	n := newNode(t, 0, flagserver.Config{})
-	ln := peer.Listen(t)
-	n.agent.Set(catalog.Serving("s-0", ln.Addr().String()))
-	p := n.start()
-	p.waitReady()
-	c, err := n.dial()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.nc.Close()
-	io.WriteString(c.nc, peer.Command("Q.ASK", peer.Customer, "1", shortList))
-	b := peer.Accept(t, ln)
+	_, p, c, b := startTransfer(t)
 	b.Message()
 	b.Write(fmt.Sprintf("*3\r\n$%d\r\n%s", slowValueBytes, strings.Repeat("v", slowValueBytes/2)))
 	if _, err := c.in.Peek(1); err != nil {
