Fix: requests are sent on although their client left while the gateway was held up

Cause: a request is asked whether its client has left from 30 ms of age on, counted from when it was read. A late reader reads commands that came long ago, and the end lies behind them.

Change: when a read brings more than one command, the socket is asked once whether its other side has closed. A single command needs no question, its end is read next, so the usual request costs nothing more.

--- a/internal/frontend/resp2/client.go
+++ b/internal/frontend/resp2/client.go
@@ -134,6 +134,8 @@
 	// wasPaused tells that reading has paused, so the client may have disconnected after the commands that it sent. It
 	// is used by the reading goroutine only.
 	wasPaused bool
+	// hasReadAhead tells that no command was handled since the last read. It is used by the reading goroutine only.
+	hasReadAhead bool
 }
 
 func newClient(fr *Frontend, nc net.Conn) *client {
@@ -187,16 +189,24 @@
 		}
 		c.commandsRead++
 		c.readDeadline = time.Time{}
-		if c.wasPaused && socket.HasPeerClosed(c.conn) {
+		if c.mayHaveMissedEnd() && socket.HasPeerClosed(c.conn) {
 			return
 		}
-		c.wasPaused = false
 		if !c.handleCommand(m) {
 			return
 		}
 	}
 }
 
+// mayHaveMissedEnd reports whether the client may have disconnected after the last command without its end being read:
+// reading has paused, or more bytes were read with the command, perhaps long after they came. It returns true once for
+// each pause and each read.
+func (c *client) mayHaveMissedEnd() bool {
+	mayHave := c.wasPaused || c.hasReadAhead && c.reader.HasPartialMessage()
+	c.wasPaused, c.hasReadAhead = false, false
+	return mayHave
+}
+
 // Read reads from the socket for the resp.Reader. A command has one deadline from its first bytes, however slowly the
 // others arrive, and the first command of a new client has one from connecting.
 func (c *client) Read(b []byte) (int, error) {
@@ -254,7 +264,7 @@
 	if n == 0 {
 		return
 	}
-	c.hasInput = true
+	c.hasInput, c.hasReadAhead = true, true
 	c.lastReadAt = c.front.env.Now()
 	if c.lastInput != nil {
 		c.lastInput.unread -= n
--- a/internal/frontend/resp2/end_test.go
+++ b/internal/frontend/resp2/end_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"log/slog"
 	"net"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,10 +16,14 @@
 	"gapgap/internal/socket"
 )
 
-// noRoute is a Router without pools: requests that are not refused before are answered with an error line.
-type noRoute struct{}
+// noRoute is a Router without pools: requests that are not refused before are answered with an error line. It counts
+// them.
+type noRoute struct{ requests atomic.Int64 }
 
-func (noRoute) Route(*route.Query) *proxy.Proxy { return nil }
+func (r *noRoute) Route(*route.Query) *proxy.Proxy {
+	r.requests.Add(1)
+	return nil
+}
 
 // endHarness is a frontend with one connected client.
 type endHarness struct {
@@ -38,7 +44,7 @@
 		Conns:  resourcelimit.NewClientLimit(64, now),
 		Now:    now,
 		Coarse: now,
-		Router: noRoute{},
+		Router: &noRoute{},
 	}
 	h := &endHarness{frontend: New(env, Config{}, ln, slog.New(slog.NewTextHandler(io.Discard, nil)))}
 	h.frontend.acceptEnded.Store(true)
@@ -181,3 +187,26 @@
 		})
 	}
 }
+
+// TestClientThatLeftWhileItsReaderWasLate guards against requests that are handled although their client has left: it
+// sent several at once and closed its connection, and the reader reads them later.
+func TestClientThatLeftWhileItsReaderWasLate(t *testing.T) {
+	for name, requests := range map[string]int{"two": 2, "more than one read": 200} {
+		t.Run(name, func(t *testing.T) {
+			before := make(chan struct{})
+			h := startEndHarness(t, func(h *endHarness) { h.conn.Before = before })
+			h.peer.Write(strings.Repeat(endRequest, requests))
+			h.peer.NC.Close()
+			for !socket.HasPeerClosed(h.conn.TCPConn) {
+				time.Sleep(time.Millisecond)
+			}
+			close(before)
+			for h.frontend.env.Conns.Len() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			if n := h.frontend.env.Router.(*noRoute).requests.Load(); n != 0 {
+				t.Errorf("%d requests of a client that has left are handled", n)
+			}
+		})
+	}
+}
