Fix: a web proxy that reads no answers keeps its connection for good

A fault of the fix for checks that are read and dropped: the idle timeout interrupts the read of a connection, but while net/http writes an answer that its client does not accept nobody reads, so nothing ended it.

Change: a connection with a write that its client has not accepted is closed at once, as it was before.

--- a/internal/frontend/extauthz/conn.go
+++ b/internal/frontend/extauthz/conn.go
@@ -32,6 +32,8 @@
 	acceptedAt       time.Duration
 	// openRequests is the number of requests in handlers.
 	openRequests atomic.Int32
+	// writes is the number of writes that the client has not accepted yet.
+	writes atomic.Int32
 	// lastActivity is when bytes were last read or written.
 	lastActivity atomic.Int64
 	// requestBegan is when the first bytes were read that no handler has received yet, or 0 if there are none.
@@ -150,6 +152,8 @@
 // Write implements [net.Conn].
 func (c *conn) Write(b []byte) (int, error) {
 	c.lastActivity.Store(int64(c.front.env.Coarse()))
+	c.writes.Add(1)
+	defer c.writes.Add(-1)
 	return c.Conn.Write(b)
 }
 
@@ -228,7 +232,7 @@
 }
 
 // CloseWhenIdle implements [resourcelimit.ClientConnection]. It interrupts the read of an idle connection, which then
-// ends: see readsOn.
+// ends: see readsOn. A connection whose client accepts nothing is closed, as nothing is read from it meanwhile.
 func (c *conn) CloseWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -238,6 +242,10 @@
 		c.closeAfterAnswer.Store(true)
 		return
 	}
+	if c.writes.Load() > 0 {
+		_ = c.Close() // nothing more is sent on it
+		return
+	}
 	c.ending = true
 	_ = c.Conn.SetReadDeadline(interruptedDeadline) // fails only if the connection is closed
 }
--- a/internal/frontend/extauthz/conn_test.go
+++ b/internal/frontend/extauthz/conn_test.go
@@ -124,3 +124,36 @@
 	p.Write(checkRequest)
 	wantsCheck(t, c, results)
 }
+
+// TestClientThatAcceptsNothingIsClosed guards against a connection that stays for good because nothing is read from it:
+// the answer to a check is being written, and its client accepts nothing.
+func TestClientThatAcceptsNothingIsClosed(t *testing.T) {
+	for name, end := range map[string]func(*conn){
+		"evicted": (*conn).CloseWhenIdle,
+		"overdue": func(c *conn) { c.front.closeOverdue() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			gates := peer.GatedConn{Before: make(chan struct{})}
+			c, _, results := startConn(t, gates)
+			written := make(chan error, 1)
+			go func() {
+				_, err := c.Write(make([]byte, 64<<20)) // more than the buffers of the sockets hold
+				written <- err
+			}()
+			for c.writes.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			c.used.Store(true)
+			c.lastActivity.Store(int64(time.Minute))
+			end(c)
+			if err := <-written; err == nil {
+				t.Error("the client has accepted all of it")
+			}
+			if n := c.front.env.Conns.Len(); n != 0 {
+				t.Errorf("%d connections are counted", n)
+			}
+			close(gates.Before)
+			<-results
+		})
+	}
+}
