Fix: a pipeline of PING asks whether its client has left at each read

Change: only a request asks, once for each read; what is answered by the gateway itself does no harm to anybody.

--- a/internal/frontend/resp2/client.go
+++ b/internal/frontend/resp2/client.go
@@ -134,7 +134,7 @@
 	// wasPaused tells that reading has paused, so the client may have disconnected after the commands that it sent. It
 	// is used by the reading goroutine only.
 	wasPaused bool
-	// hasReadAhead tells that no command was handled since the last read. It is used by the reading goroutine only.
+	// hasReadAhead tells that no request was handled since the last read. It is used by the reading goroutine only.
 	hasReadAhead bool
 }
 
@@ -189,22 +189,22 @@
 		}
 		c.commandsRead++
 		c.readDeadline = time.Time{}
-		if c.mayHaveMissedEnd() && socket.HasPeerClosed(c.conn) {
+		if c.wasPaused && socket.HasPeerClosed(c.conn) {
 			return
 		}
+		c.wasPaused = false
 		if !c.handleCommand(m) {
 			return
 		}
 	}
 }
 
-// mayHaveMissedEnd reports whether the client may have disconnected after the last command without its end being read:
-// reading has paused, or more bytes were read with the command, perhaps long after they came. It returns true once for
-// each pause and each read.
-func (c *client) mayHaveMissedEnd() bool {
-	mayHave := c.wasPaused || c.hasReadAhead && c.reader.HasPartialMessage()
-	c.wasPaused, c.hasReadAhead = false, false
-	return mayHave
+// hasLeftBehind reports whether the client has disconnected after a request behind which more bytes were read: they may
+// have come long ago, and the end is read only after them. It asks the socket once for each read.
+func (c *client) hasLeftBehind() bool {
+	mayHaveLeft := c.hasReadAhead && c.reader.HasPartialMessage()
+	c.hasReadAhead = false
+	return mayHaveLeft && socket.HasPeerClosed(c.conn)
 }
 
 // Read reads from the socket for the resp.Reader. A command has one deadline from its first bytes, however slowly the
@@ -319,6 +319,9 @@
 		if c.isClosing() { // a client that always has requests open would otherwise never be disconnected
 			return c.reply("-BUSY\r\n")
 		}
+		if c.hasLeftBehind() {
+			return false
+		}
 		pool, req, err := c.readRequest(name, args)
 		if pool == nil {
 			return c.rejectCommand("-ERR no route leads anywhere\r\n")
