Tests: each waiting reservation of a test has its own result

Not a fault of the product: the three calls share one channel, and the call that gives up grants the next one before it returns, so the other result may come first.

Change: each call has a channel of its own. What is checked is the same, and now of the call that is meant.

The product's code is not changed.

--- a/internal/resourcelimit/wait_test.go
+++ b/internal/resourcelimit/wait_test.go
@@ -29,27 +29,31 @@
 	if err := b.Reserve(context.Background(), 100); err != nil {
 		t.Fatal(err)
 	}
+	reserve := func(ctx context.Context, n int64) <-chan error {
+		result := make(chan error, 1) // of its own: a call that gives up may return after the next one that it lets pass
+		go func() { result <- b.Reserve(ctx, n) }()
+		return result
+	}
 	ctx, giveUp := context.WithCancel(context.Background())
-	results := make(chan error, 3)
-	go func() { results <- b.Reserve(ctx, 100) }()
+	first := reserve(ctx, 100)
 	waitForWaiting(t, b, 1)
-	go func() { results <- b.Reserve(context.Background(), 60) }()
+	second := reserve(context.Background(), 60)
 	waitForWaiting(t, b, 2)
-	go func() { results <- b.Reserve(context.Background(), 40) }()
+	third := reserve(context.Background(), 40)
 	waitForWaiting(t, b, 3)
 	b.Release(60)
 	if b.Waiting() != 3 || b.Held() != 40 {
 		t.Fatalf("%d calls wait and %d bytes are held after a release that is too small", b.Waiting(), b.Held())
 	}
 	giveUp()
-	if err := <-results; !errors.Is(err, context.Canceled) {
+	if err := <-first; !errors.Is(err, context.Canceled) {
 		t.Fatalf("the call that gave up returned %v", err)
 	}
-	if err := <-results; err != nil || b.Waiting() != 1 || b.Held() != 100 {
+	if err := <-second; err != nil || b.Waiting() != 1 || b.Held() != 100 {
 		t.Fatalf("%v, %d calls wait and %d bytes are held", err, b.Waiting(), b.Held())
 	}
 	b.Release(100)
-	if err := <-results; err != nil || b.Waiting() != 0 || b.Held() != 40 {
+	if err := <-third; err != nil || b.Waiting() != 0 || b.Held() != 40 {
 		t.Fatalf("%v, %d calls wait and %d bytes are held", err, b.Waiting(), b.Held())
 	}
 }
