--- a/internal/resourcelimit/wait_test.go
+++ b/internal/resourcelimit/wait_test.go
@@ -29,8 +29,9 @@
 	if err := b.Reserve(context.Background(), 100); err != nil {
 		t.Fatal(err)
 	}
+	// Each call has a channel of its own: one that gives up may return after the next one that it lets pass.
 	reserve := func(ctx context.Context, n int64) <-chan error {
-		result := make(chan error, 1) // of its own: a call that gives up may return after the next one that it lets pass
+		result := make(chan error, 1)
 		go func() { result <- b.Reserve(ctx, n) }()
 		return result
 	}
