Fix: a test waits for a connection that the garbage collector has closed

Beside load (six plays at a time, race detector) 5 of 46 plays of the upgrade tests hung, all in TestNewProcessFails, in Link.Next: the old process had no connection to hand over.

Cause: the test's idle client is not used after its PING, so the garbage collector may finalize its connection, which closes it; the gateway reads the end and drops it.

What the test checks is the same. Other tests that dial close their connections themselves.

--- a/cmd/gapgap/upgrade_test.go
+++ b/cmd/gapgap/upgrade_test.go
@@ -209,11 +209,14 @@
 	in *bufio.Reader
 }
 
+// dial connects a client. Its connection stays open until the caller closes it or the test ends: without the reference
+// of the clean-up function, the garbage collector would close one that the test has no further use for.
 func (n *node) dial() (*client, error) {
 	nc, err := net.Dial("tcp", n.listen)
 	if err != nil {
 		return nil, err
 	}
+	n.t.Cleanup(func() { nc.Close() })
 	nc.SetDeadline(time.Now().Add(time.Minute))
 	return &client{nc, bufio.NewReader(nc)}, nil
 }
@@ -436,6 +439,13 @@
 	}
 }
 
+// nextConnection returns the next connection that the old process hands over. It waits for at most Patient.
+func nextConnection(taken *handover.Taken) (nc net.Conn, unread []byte, err error) {
+	timer := time.AfterFunc(peer.Patient, func() { taken.Link.Close() })
+	defer timer.Stop()
+	return taken.Link.Next()
+}
+
 // TestNewProcessFails verifies that a new process that fails at any step leaves the old one serving, which keeps the
 // connections that it has not handed over.
 func TestNewProcessFails(t *testing.T) {
@@ -469,7 +479,7 @@
 	if err := taken.Link.Confirm(); err != nil {
 		t.Fatal(err)
 	}
-	nc, _, err := taken.Link.Next()
+	nc, _, err := nextConnection(taken)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -893,7 +903,7 @@
 			if err := taken.Link.Confirm(); err != nil {
 				t.Fatal(err)
 			}
-			nc, unread, err := taken.Link.Next()
+			nc, unread, err := nextConnection(taken)
 			if err != nil || len(unread) > 0 {
 				t.Fatalf("no connection is handed over: %q, %v", unread, err)
 			}
