Fix: a keyed request runs in two scopes when its endpoint's name moves between them

Seen by callers: the effect of a keyed request twice.

Cause: isInDedupScope held a retry against the zone and cell that the first attempt's endpoint has now. A list between the dispatch and the retry, with a new process of that name in another cell or zone, or an entry without its cell (DELETED), moves them; it was the old process that may have run the request.

Change: an attempt keeps the zone and cell that its endpoint had when it was dispatched (attempt.zone, attempt.cell), and the history keeps the first attempt that may have run in place of its time and endpoint.

--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -91,10 +91,8 @@
 	limit int
 	// mayHaveRun is set once an attempt may have had an effect.
 	mayHaveRun bool
-	// firstRunAt is when the first such attempt was dispatched.
-	firstRunAt time.Duration
-	// firstRunEndpoint is the endpoint of that attempt.
-	firstRunEndpoint *endpoint
+	// firstRun is the first such attempt; nil if there is none.
+	firstRun *attempt
 }
 
 // add appends an attempt and numbers it by its position in the order of dispatch.
@@ -128,8 +126,7 @@
 		return
 	}
 	h.mayHaveRun = true
-	h.firstRunAt = att.sentAt
-	h.firstRunEndpoint = att.endpoint
+	h.firstRun = att
 }
 
 // attempt is one dispatch of a request.
@@ -138,6 +135,10 @@
 	// number is the index of the attempt among the request's attempts, starting at 0.
 	number   int
 	endpoint *endpoint
+	// zone and cell are those of the endpoint when the attempt was dispatched. The list may since have given the
+	// endpoint's name to a process in another place.
+	zone int
+	cell int
 	// sentAt is when the attempt was dispatched.
 	sentAt time.Duration
 	// kind distinguishes probe requests from regular attempts.
--- a/internal/balancer/retry.go
+++ b/internal/balancer/retry.go
@@ -32,25 +32,25 @@
 	case Idempotent:
 		return true
 	case IdempotentByKey:
-		return b.now < b.retryDeadline(req) && isInDedupScope(class.DedupScope, req.attempts.firstRunEndpoint, ep)
+		return b.now < b.retryDeadline(req) && isInDedupScope(class.DedupScope, req.attempts.firstRun, ep)
 	default:
 		return false
 	}
 }
 
-// isInDedupScope reports whether an endpoint recognizes a request that was run on another endpoint.
-func isInDedupScope(scope DedupScope, ranOn, ep *endpoint) bool {
+// isInDedupScope reports whether an endpoint recognizes a request that an earlier attempt may have run.
+func isInDedupScope(scope DedupScope, earlier *attempt, ep *endpoint) bool {
 	switch {
 	case scope == DedupAll:
 		return true
-	case ep.zone != ranOn.zone:
+	case ep.zone != earlier.zone:
 		return false
 	default:
-		return scope == DedupZone || ep.cell == ranOn.cell
+		return scope == DedupZone || ep.cell == earlier.cell
 	}
 }
 
 // retryDeadline returns the latest time at which a retry of a request with an idempotency key may be written.
 func (b *Balancer) retryDeadline(req *request) time.Duration {
-	return req.attempts.firstRunAt + b.settings.Classes[req.class].DedupWindow - retryWriteMargin
+	return req.attempts.firstRun.sentAt + b.settings.Classes[req.class].DedupWindow - retryWriteMargin
 }
--- a/internal/balancer/retry_test.go
+++ b/internal/balancer/retry_test.go
@@ -48,3 +48,43 @@
 		t.Fatalf("retried %+v, want one attempt without a write deadline", retries)
 	}
 }
+
+// TestRetryStaysWhereFirstAttemptRan guards against a keyed request that runs in two deduplication scopes: after its
+// attempt was dispatched, the list gives the endpoint's name to a process in another scope, or leaves out the scope.
+func TestRetryStaysWhereFirstAttemptRan(t *testing.T) {
+	locate := map[DedupScope]func(entry *Endpoint, place int){
+		DedupCell: func(entry *Endpoint, place int) { entry.Zone, entry.Cell = 0, place },
+		DedupZone: func(entry *Endpoint, place int) { entry.Zone, entry.Cell = place, 0 },
+	}
+	changes := map[string]Endpoint{
+		"another process":       {StartedAt: time.Second, Weight: 1},
+		"no start time":         {Weight: 1},
+		"draining":              {StartedAt: time.Second, State: Draining},
+		"removed without place": {State: Removed},
+	}
+	for scope, set := range locate {
+		for name, changed := range changes {
+			settings := testSettings()
+			settings.Classes[1].DedupScope = scope
+			list := testEndpoints(6)
+			places := map[string]int{}
+			for i := range list {
+				places[list[i].Name] = 1 + i/2
+				set(&list[i], 1+i/2)
+			}
+			b := newTestBalancer(t, settings, list...)
+			dispatch := singleDispatch(t, b.Step(time.Second, []Event{testRequest(1, 1, 2)}))
+			changed.Name = dispatch.Endpoint
+			if changed.State != Removed {
+				set(&changed, 1+places[dispatch.Endpoint]%3)
+			}
+			b.Step(time.Second+10*ms, []Event{EndpointUpdate{Kind: Delta, Entries: []Endpoint{changed}}})
+			actions := b.Step(time.Second+20*ms, []Event{resultOf(dispatch, Reset, 19*ms)})
+			retry := singleDispatch(t, actions)
+			if places[retry.Endpoint] != places[dispatch.Endpoint] || retry.Endpoint == dispatch.Endpoint {
+				t.Errorf("scope %v, %s: retried at %s, which does not know the key of a request that ran at %s",
+					scope, name, retry.Endpoint, dispatch.Endpoint)
+			}
+		}
+	}
+}
