Fix: a keyed request runs in two scopes when another process takes an address over

Seen by callers: the effect of a keyed request twice.

Cause: the balancer knows endpoints by name. A retry for the old name stays in the old one's scope, but reaches the process that is at the address now.

Change: the watch marks endpoints whose address also belongs to one in another zone or cell; a keyed request that may have run is not sent to them, unless its keys are known at all endpoints. Where an endpoint is, is one struct (place). Endpoints of one place may share an address, as tests do.

--- a/internal/balancer/endpoint.go
+++ b/internal/balancer/endpoint.go
@@ -5,15 +5,20 @@
 	"time"
 )
 
+// place is where an endpoint's process runs. Endpoints in one place may recognize each other's requests as repeats; see
+// DedupScope.
+type place struct {
+	zone int
+	cell int
+	// uncertain is set while an endpoint in another place is listed at the same address.
+	uncertain bool
+}
+
 // endpoint is the state of one endpoint at this gateway, with the requests queued for it and in flight to it.
 type endpoint struct {
 	// name identifies the endpoint in the endpoint list and in actions.
-	name string
-	// zone is the zone that the endpoint runs in.
-	zone int
-	// cell is the cell that the endpoint belongs to. Endpoints of a cell may recognize each other's requests as
-	// repeats.
-	cell int
+	name  string
+	place place
 	// weight is the capacity relative to other endpoints; it is above 0.
 	weight float64
 	// startedAt is when the endpoint last started, according to the endpoint list. 0 means long ago, -1 not known yet.
--- a/internal/balancer/endpoints.go
+++ b/internal/balancer/endpoints.go
@@ -196,8 +196,7 @@
 			ep.beginSlowStart(entry.StartedAt)
 		}
 	}
-	ep.zone = entry.Zone
-	ep.cell = entry.Cell
+	ep.place = place{zone: entry.Zone, cell: entry.Cell, uncertain: entry.PlaceUncertain}
 	ep.weight = cmp.Or(max(0, entry.Weight), 1)
 	ep.slowStart.share = cmp.Or(max(0, entry.SlowStartShare), 1)
 	_, isAdminEjected := b.endpoints.adminEjected[ep.name]
--- a/internal/balancer/event.go
+++ b/internal/balancer/event.go
@@ -139,6 +139,9 @@
 	// SlowStartShare is the fraction of a warming-up endpoint's capacity that this gateway's pool may use; 0 is treated
 	// as 1.
 	SlowStartShare float64
+	// PlaceUncertain tells that an endpoint in another zone or cell is listed at the same address. It is not known
+	// which of the two processes is there, and so which idempotency keys it has.
+	PlaceUncertain bool
 }
 
 // UpdateKind is the kind of an EndpointUpdate.
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -135,10 +135,9 @@
 	// number is the index of the attempt among the request's attempts, starting at 0.
 	number   int
 	endpoint *endpoint
-	// zone and cell are those of the endpoint when the attempt was dispatched. The list may since have given the
-	// endpoint's name to a process in another place.
-	zone int
-	cell int
+	// place is that of the endpoint when the attempt was dispatched. The list may since have given the endpoint's name
+	// to a process in another one.
+	place place
 	// sentAt is when the attempt was dispatched.
 	sentAt time.Duration
 	// kind distinguishes probe requests from regular attempts.
--- a/internal/balancer/retry.go
+++ b/internal/balancer/retry.go
@@ -32,21 +32,21 @@
 	case Idempotent:
 		return true
 	case IdempotentByKey:
-		return b.now < b.retryDeadline(req) && isInDedupScope(class.DedupScope, req.attempts.firstRun, ep)
+		return b.now < b.retryDeadline(req) && isInDedupScope(class.DedupScope, req.attempts.firstRun.place, ep.place)
 	default:
 		return false
 	}
 }
 
-// isInDedupScope reports whether an endpoint recognizes a request that an earlier attempt may have run.
-func isInDedupScope(scope DedupScope, earlier *attempt, ep *endpoint) bool {
+// isInDedupScope reports whether an endpoint in one place recognizes a request that may have run in another.
+func isInDedupScope(scope DedupScope, ranIn, other place) bool {
 	switch {
 	case scope == DedupAll:
 		return true
-	case ep.zone != earlier.zone:
+	case ranIn.uncertain || other.uncertain || ranIn.zone != other.zone:
 		return false
 	default:
-		return scope == DedupZone || ep.cell == earlier.cell
+		return scope == DedupZone || ranIn.cell == other.cell
 	}
 }
 
--- a/internal/balancer/retry_test.go
+++ b/internal/balancer/retry_test.go
@@ -88,3 +88,27 @@
 		}
 	}
 }
+
+// TestRetryAvoidsUncertainPlaces guards against a keyed request that runs in two deduplication scopes: the address of
+// an endpoint also belongs to one in another scope, so it is not known which of the two a retry would reach.
+func TestRetryAvoidsUncertainPlaces(t *testing.T) {
+	for scope, wantRetry := range map[DedupScope]bool{DedupAll: true, DedupZone: false, DedupCell: false} {
+		settings := testSettings()
+		settings.Classes[1].DedupScope = scope
+		list := testEndpoints(2) // in one cell
+		b := newTestBalancer(t, settings, list...)
+		dispatch := singleDispatch(t, b.Step(time.Second, []Event{testRequest(1, 1, 2)}))
+		for i := range list {
+			list[i].PlaceUncertain = true
+		}
+		b.Step(time.Second+10*ms, []Event{EndpointUpdate{Kind: Delta, Entries: list}})
+		actions := b.Step(time.Second+20*ms, []Event{resultOf(dispatch, Reset, 19*ms)})
+		if got := len(actionsOf[Dispatch](actions)) == 1; got != wantRetry {
+			t.Errorf("scope %v: %+v, want a retry: %t", scope, actions, wantRetry)
+		}
+		retries := actionsOf[Dispatch](b.Step(2*time.Second, []Event{testRequest(2, 1, 2)}))
+		if len(retries) != 1 || retries[0].ID != 2 {
+			t.Errorf("scope %v: a new request gets %+v, want an attempt", scope, retries)
+		}
+	}
+}
--- a/internal/balancer/selection.go
+++ b/internal/balancer/selection.go
@@ -57,7 +57,7 @@
 // to 1.
 func (b *Balancer) selectionCost(ep *endpoint, randomness float64) float64 {
 	cost := (ep.inFlightWork + ep.queue.work + 1) * ep.latency.factor / (ep.weight * b.capacityFraction(ep))
-	if ep.zone != b.settings.Zone {
+	if ep.place.zone != b.settings.Zone {
 		cost *= zonePenaltyMin + zonePenaltyPerCost*b.settings.CrossZoneCost
 	}
 	if randomness > 0 {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -66,7 +66,7 @@
 	endedBackoff    backoff.Policy
 	rejectedBackoff backoff.Policy
 	// endpoints is the current list by endpoint name.
-	endpoints map[string]Endpoint
+	endpoints map[string]*listedEndpoint
 }
 
 // New returns a watch that starts with Follow. The event loop calls the sink with each update.
@@ -92,7 +92,7 @@
 		stop:            func() {},
 		endedBackoff:    endedBackoff,
 		rejectedBackoff: rejectedBackoff,
-		endpoints:       map[string]Endpoint{},
+		endpoints:       map[string]*listedEndpoint{},
 	}
 }
 
@@ -105,8 +105,8 @@
 // List returns the current list in the form of Config.Known.
 func (w *Watch) List() EndpointList {
 	list := EndpointList{Index: w.index, Snapshot: true, Endpoints: make([]Endpoint, 0, len(w.endpoints))}
-	for _, entry := range w.endpoints {
-		list.Endpoints = append(list.Endpoints, entry)
+	for _, listed := range w.endpoints {
+		list.Endpoints = append(list.Endpoints, listed.Endpoint)
 	}
 	return list
 }
@@ -147,8 +147,9 @@
 // report converts a list or a change of it and passes it to the sink.
 func (w *Watch) report(list EndpointList, kind balancer.UpdateKind) {
 	update := endpoint.Update{Kind: kind}
+	earlier := w.endpoints
 	if kind != balancer.Delta {
-		clear(w.endpoints)
+		w.endpoints = make(map[string]*listedEndpoint, len(list.Endpoints))
 	}
 	for _, entry := range list.Endpoints {
 		state, ok := states[entry.Status]
@@ -159,10 +160,15 @@
 		if state == balancer.Removed {
 			delete(w.endpoints, entry.Name)
 		} else {
-			w.endpoints[entry.Name] = entry
+			listed := &listedEndpoint{Endpoint: entry}
+			if before := earlier[entry.Name]; before != nil {
+				listed.isPlaceUncertain = before.isPlaceUncertain
+			}
+			w.endpoints[entry.Name] = listed
 		}
 		update.Entries = append(update.Entries, w.entry(entry, state))
 	}
+	update.Entries = w.withUncertainPlaces(update.Entries)
 	w.sink(update)
 }
 
