--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -5,6 +5,7 @@
 	"gapgap/internal/fake/peer"
 
 	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -121,6 +122,45 @@
 	}
 }
 
+// TestNewCounterAtItsAddress guards against a new counter process that is taken for the one that was at its address: it
+// is not sent the calls of that one again, and its answers belong to later calls only.
+func TestNewCounterAtItsAddress(t *testing.T) {
+	ln := peer.Listen(t)
+	f := newFixture(t)
+	f.counter.cfg.Timeout = peer.Patient
+	f.counter.Move(ln.Addr().String())
+	addCall(f, 8, 1)
+	before := peer.Accept(t, ln)
+	peer.Pump(t, f.Loop, func() bool { return f.counter.connections[0].netConn != nil })
+	before.Reads("add 8 1 4000\r\n")
+	if err := before.NC.(*net.TCPConn).SetLinger(0); err != nil { // a process that dies resets its connections
+		t.Fatal(err)
+	}
+	_ = before.NC.Close()
+	_ = ln.Close()
+	after, err := net.Listen("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = after.Close() })
+	peer.Pump(t, f.Loop, func() bool { return len(results(f)) == 1 })
+	addCall(f, 8, 2)
+	addCall(f, 12, 4) // on the same connection
+	p := peer.Accept(t, after)
+	peer.Pump(t, f.Loop, func() bool { return f.counter.connections[0].netConn != nil })
+	p.Reads("add 8 2 4000\r\nadd 12 4 4000\r\n")
+	p.Write("ok 2\r\nok 4\r\n")
+	peer.Pump(t, f.Loop, func() bool { return len(results(f)) == 3 })
+	want := []balancer.CounterResult{
+		{Name: 8, Status: balancer.Timeout},
+		{Name: 8, Status: balancer.OK, Total: 2},
+		{Name: 12, Status: balancer.OK, Total: 4},
+	}
+	if got := results(f); !slices.Equal(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 // TestCounterSweep verifies that Sweep closes a connection whose answer is overdue, and an idle one.
 func TestCounterSweep(t *testing.T) {
 	ln := peer.Listen(t)
