Fix: changes of the list are ignored for good after discovery has started anew

Seen by callers: requests to endpoints that drain or have gone, none to new ones.

Cause: a list with a lower index than the last one is ignored, as an agent that lags must not bring back an endpoint that drains (TestOlderListChangesNothing). A discovery process that has lost its state counts from the beginning, so all its lists look like that. Evidence: TestDiscoveryThatHasLostItsIndex, red before: a drain, at once or 20 s after the restart, was not reported in 5 minutes of virtual time, polled or pushed.

Change: an agent that has sent the current index itself and then sends lower ones for 2 s on one watch has lost its state; the next watch begins with the whole list. 5.6 s at most, within the 6 s after which a change counts as told. A watch that moved to another agent ignores lower indexes as before.

TestLaggingDiscoveryChangesNothing (lags of 0.1 to 1.9 s, and another agent) passed before as well.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -11,6 +11,7 @@
 //
 //	maxRejectedPause*1.5 + listTimeout = 4.6 s     after a rejected call
 //	answerTimeout + pause + listTimeout = 3.8 s    after a call without an answer
+//	lostIndexTimeout + keep-alive + pause + listTimeout = 5.6 s    after the agent has lost its index
 //	maxParallelInterval + listTimeout = 1.9 s      if lists are pushed
 package discovery
 
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -18,6 +18,9 @@
 	listTimeout = 1300 * time.Millisecond
 	// maxListTimeout bounds the list timeout, which doubles after each incomplete list in case the agent is slow.
 	maxListTimeout = 4 * time.Second
+	// lostIndexTimeout is how long an agent may send lists with a lower index than its own last one before it counts as
+	// a new process that has lost its state. One that only lags behind has caught up by then.
+	lostIndexTimeout = 2 * time.Second
 )
 
 // Pauses between watches.
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -31,6 +31,8 @@
 			endedBackoff.Reset()
 			rejectedBackoff.Reset()
 			s.listTimeout = listTimeout
+		case errors.Is(err, errIndexLost):
+			s.forgetIndex()
 		case errors.Is(err, errIncompleteList):
 			s.listTimeout = min(2*s.listTimeout, maxListTimeout)
 		}
@@ -54,6 +56,7 @@
 	address string
 	// index is the index of the last list read.
 	index        int64
+	lostIndex    lostIndex
 	epoch        int
 	callInterval callInterval
 	// listTimeout is how long the next list may take from its first byte to its last.
@@ -69,6 +72,7 @@
 	}
 	defer cancel()
 	defer closeBody(response)
+	s.lostIndex.beginWatch()
 	// A machine that has stopped responding does not close its connections.
 	deadline := time.AfterFunc(silenceTimeout, cancel)
 	defer deadline.Stop()
@@ -88,6 +92,9 @@
 		if frameErr != nil {
 			return gotList, fmt.Errorf("watch: %w", frameErr)
 		}
+		if s.lostIndex.isLost() {
+			return false, errIndexLost
+		}
 		switch {
 		case frames.isInside() && (!wasInside || frames.listStarted):
 			deadline.Reset(s.listTimeout)
@@ -111,9 +118,14 @@
 			return gotList, err
 		}
 		b = b[used:]
-		if list == nil || list.Index < s.index {
+		if list == nil {
+			continue
+		}
+		if list.Index < s.index {
+			s.lostIndex.recordLower()
 			continue
 		}
+		s.lostIndex.recordCurrent()
 		s.index = list.Index
 		gotList = true
 		s.post(*list)
@@ -121,6 +133,18 @@
 	return gotList, nil
 }
 
+// forgetIndex makes the next watch begin with the whole list, whatever its index.
+func (s *stream) forgetIndex() {
+	s.watch.log.Warn("discovery has lost its index: its list is taken from the beginning", "index", s.index)
+	s.index = 0
+	s.lostIndex = lostIndex{}
+	s.watch.loop.Post(func() {
+		if s.epoch == s.watch.epoch {
+			s.watch.index = 0
+		}
+	})
+}
+
 // post posts a list to the event loop, which ignores lists of an earlier Follow: the current one receives them again.
 func (s *stream) post(list EndpointList) {
 	s.watch.loop.Post(func() {
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -29,6 +29,10 @@
 type agent struct {
 	startedAt time.Time
 	drainAt   time.Duration // when the endpoint begins to drain
+	// state, if set, returns the index and the endpoint's status in place of drainAt.
+	state func(at time.Duration) (index int, status string)
+	// restartAt, if not 0, is when another process takes the agent's address: the open watches break.
+	restartAt time.Duration
 	// behavior returns how to treat a new connection: "" (answer), refuse, silent, reject, incomplete (send half of a
 	// list and stop) or trickle (send a list slowly).
 	behavior       func(call int) string
@@ -64,6 +68,9 @@
 	if a.elapsed() >= a.drainAt {
 		index, status = 2, "DRAINING"
 	}
+	if a.state != nil {
+		index, status = a.state(a.elapsed())
+	}
 	s := fmt.Sprintf(
 		`{"index":%d,"snapshot":true,"endpoints":[{"name":"s\"}{","address":"127.0.0.1:1","status":"%s"}]}`,
 		index,
@@ -131,11 +138,17 @@
 		if untilDrain := a.drainAt - a.elapsed(); untilDrain > 0 {
 			wait = min(wait, untilDrain)
 		}
+		if untilRestart := a.restartAt - a.elapsed(); untilRestart > 0 {
+			wait = min(wait, untilRestart)
+		}
 		select {
 		case <-time.After(wait):
 		case <-ended:
 			return
 		}
+		if openedAt < a.restartAt && a.elapsed() >= a.restartAt {
+			return
+		}
 		if a.isSilent != nil && a.isSilent(openedAt, a.elapsed()) {
 			<-ended
 			return
