Fix: an id that waits in the old process of an upgrade runs again at the new one

Cause: the old process hands over the ids that it has sent when it offers its state; what it sends afterwards, up to the deadlines of its requests, was known to nobody at the new one.

An older program ignores the packet.

--- a/cmd/gapgap/transfer_test.go
+++ b/cmd/gapgap/transfer_test.go
@@ -122,36 +122,19 @@
 			n := newNode(t, 0, flagserver.Config{})
 			ln := peer.Listen(t)
 			n.agent.Set(catalog.Serving("s-0", ln.Addr().String()))
-			text, err := os.ReadFile(n.file)
-			if err == nil {
-				unsafe := strings.Replace(string(text), `"effect":"keyed"`, `"effect":"unsafe"`, 1)
-				err = os.WriteFile(n.file, []byte(unsafe), 0o600)
-			}
-			if err != nil {
-				t.Fatal(err)
-			}
+			n.replaceInFile(`"effect":"keyed"`, `"effect":"unsafe"`)
 			p := n.start()
 			p.waitReady()
-			ask := func(id string) *client {
-				c, err := n.dial()
-				if err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(func() { c.nc.Close() })
-				list := strings.Replace(shortList, "evaluate", "change", 1)
-				io.WriteString(c.nc, peer.Command("Q.DO", peer.Customer, id, list, "body"))
-				return c
-			}
-			c := ask("1")
+			c := n.askOnce("1")
 			peer.Accept(t, ln).Message()
 			change(n)
 			p.cmd.Process.Signal(syscall.SIGHUP) // changes nothing
 			c.nc.Close()
 			time.Sleep(50 * time.Millisecond) // the process has seen the end
-			if line, err := ask("1").in.ReadString('\n'); err != nil || !strings.HasPrefix(line, "-ERR") {
+			if line, err := n.askOnce("1").in.ReadString('\n'); err != nil || !strings.HasPrefix(line, "-ERR") {
 				t.Errorf("the id again: %q and %v", line, err)
 			}
-			other := ask("2")
+			other := n.askOnce("2")
 			b := peer.Accept(t, ln)
 			if m := b.Message(); m[2] != "2" {
 				t.Errorf("request %q runs", m[2])
@@ -163,3 +146,68 @@
 		})
 	}
 }
+
+// TestQueuedIDRunsOnceAcrossAnUpgrade guards against a request that must not be repeated and that runs twice: it waits
+// in the old process of an upgrade and is sent from there once the new one serves; its client leaves and comes to the
+// new one.
+func TestQueuedIDRunsOnceAcrossAnUpgrade(t *testing.T) {
+	t.Parallel()
+	n := newNode(t, 0, flagserver.Config{})
+	ln := peer.Listen(t)
+	n.agent.Set(catalog.Serving("s-0", ln.Addr().String()))
+	n.replaceInFile(`"effect":"keyed"`, `"effect":"unsafe"`)
+	p := n.start()
+	p.waitReady()
+	clients := map[string]*client{}
+	for i := range initialSlots + 1 { // the last one waits
+		id := fmt.Sprint(i)
+		clients[id] = n.askOnce(id)
+	}
+	var open []*peer.Peer
+	for range initialSlots {
+		b := peer.Accept(t, ln)
+		delete(clients, b.Message()[2])
+		open = append(open, b)
+	}
+	n.start().waitReady()
+	open[0].Write(peer.Answer("value"))
+	sent := open[0].Message() // the request that has waited
+	waiting := clients[sent[2]]
+	if waiting == nil {
+		t.Fatalf("the endpoint gets %q, which did not wait", sent)
+	}
+	waiting.nc.Close()
+	time.Sleep(50 * time.Millisecond) // the old process has seen the end
+	const want = "-ERR the id is that of a request that may have run\r\n"
+	if line, err := n.askOnce(sent[2]).in.ReadString('\n'); err != nil || line != want {
+		t.Errorf("the id again: %q and %v, want %q", line, err, want)
+	}
+}
+
+// initialSlots is the number of requests that a gateway has at an endpoint before it knows its latency.
+const initialSlots = 4
+
+// askOnce sends a request of the class that must not be repeated on a connection of its own.
+func (n *node) askOnce(id string) *client {
+	n.t.Helper()
+	c, err := n.dial()
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	list := strings.Replace(shortList, "evaluate", "change", 1)
+	io.WriteString(c.nc, peer.Command("Q.DO", peer.Customer, id, list, "body"))
+	return c
+}
+
+// replaceInFile changes a text in the configuration.
+func (n *node) replaceInFile(old, replacement string) {
+	n.t.Helper()
+	text, err := os.ReadFile(n.file)
+	if err == nil {
+		changed := strings.Replace(string(text), old, replacement, 1)
+		err = os.WriteFile(n.file, []byte(changed), 0o600)
+	}
+	if err != nil {
+		n.t.Fatal(err)
+	}
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -312,3 +313,57 @@
 		})
 	}
 }
+
+// TestUpdatesOfTheState verifies that changes of the state reach the new process between the connections, in order, and
+// that a process that does not know them still gets its connections.
+func TestUpdatesOfTheState(t *testing.T) {
+	for name, knowsUpdates := range map[string]bool{"this program": true, "an older one": false} {
+		t.Run(name, func(t *testing.T) {
+			dir, socket := t.TempDir(), peer.Listen(t)
+			runOldProcess(t, dir, func(c *net.UnixConn) {
+				l, err := Hello(c)
+				if err == nil {
+					err = l.Offer(nil, socket.(syscall.Conn))
+				}
+				if err == nil {
+					err = l.SendUpdate([]byte("first"))
+				}
+				if err == nil {
+					err = l.SendUpdate(make([]byte, chunkBytes))
+				}
+				if err == nil {
+					err = l.Hand(socket.(syscall.Conn), []byte("unread"))
+				}
+				if err != nil {
+					t.Error(err)
+				}
+				if err := l.SendUpdate(make([]byte, chunkBytes+1)); err == nil {
+					t.Error("a change that is too long is sent")
+				}
+				l.Ended()
+			})
+			taken, err := Take(dir)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = taken.Listener.Close() }()
+			defer func() { _ = taken.Link.Close() }()
+			var updates []string
+			if knowsUpdates {
+				taken.Link.OnUpdate = func(change []byte) { updates = append(updates, string(change)) }
+			}
+			if err := taken.Link.Confirm(); err != nil {
+				t.Fatal(err)
+			}
+			conn, unread, err := taken.Link.Next()
+			if err != nil || string(unread) != "unread" {
+				t.Fatalf("%q, %v", unread, err)
+			}
+			_ = conn.Close()
+			want := []string{"first", string(make([]byte, chunkBytes))}
+			if knowsUpdates && !slices.Equal(updates, want) {
+				t.Errorf("%d updates: %.20q", len(updates), updates)
+			}
+		})
+	}
+}
--- a/internal/handover/offer.go
+++ b/internal/handover/offer.go
@@ -56,6 +56,15 @@
 	return err
 }
 
+// SendUpdate sends a change of the state, chunkBytes at most, after Offer has returned without an error. It is safe for
+// concurrent use.
+func (l *Link) SendUpdate(change []byte) error {
+	if len(change) > chunkBytes {
+		return fmt.Errorf("a change of %d bytes, the limit is %d", len(change), chunkBytes)
+	}
+	return l.send(kindUpdate, change)
+}
+
 // Hand sends a connection with the bytes that were read from it and not used, MaxUnreadBytes at most. The caller still
 // has to close its own descriptor of the connection. Hand is safe for concurrent use.
 func (l *Link) Hand(conn syscall.Conn, unread []byte) error {
--- a/internal/handover/packet.go
+++ b/internal/handover/packet.go
@@ -45,6 +45,8 @@
 	kindConfirm = 'K'
 	// kindConn carries a client connection, with the bytes that were read from it and not used.
 	kindConn = 'C'
+	// kindUpdate carries a change of the state after the confirmation. A process of an older program ignores it.
+	kindUpdate = 'U'
 )
 
 // ErrRefused is returned when the old process refuses the handover.
@@ -66,6 +68,9 @@
 	sendMu sync.Mutex
 	// buffer holds the packet received last.
 	buffer [maxPacketBytes]byte
+	// OnUpdate is called by Next with each change of the state that the old process sends. It must not keep the bytes.
+	// Nil ignores them. It is set before Next is called.
+	OnUpdate func(change []byte)
 }
 
 // packet is a received packet. Its body is valid until the next one is received. The caller closes its file, if it has
--- a/internal/handover/take.go
+++ b/internal/handover/take.go
@@ -112,6 +112,9 @@
 		if err != nil {
 			return nil, nil, err
 		}
+		if received.kind == kindUpdate && l.OnUpdate != nil {
+			l.OnUpdate(received.body)
+		}
 		if received.file == nil {
 			continue
 		}
--- a/internal/proxy/sentids.go
+++ b/internal/proxy/sentids.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +36,8 @@
 	// order holds them from the oldest on. Entries whose number is not that in byHash were forgotten since.
 	order  []orderedID
 	number uint64
+	// report receives each change; nil: nobody follows them.
+	report func(SentID)
 }
 
 // rememberedID is the state of one ID.
@@ -54,7 +57,8 @@
 type SentID struct {
 	// Hash identifies the customer and the ID.
 	Hash []byte `json:"Hash"`
-	// Until is the time at which it is forgotten, on the clock of the event loops.
+	// Until is the time at which it is forgotten, on the clock of the event loops. 0 means that it is forgotten at
+	// once, as its request has not run.
 	Until time.Duration `json:"Until"`
 }
 
@@ -83,6 +87,14 @@
 			delete(s.byHash, oldest.hash)
 		}
 	}
+	s.reportChange(hash, until)
+}
+
+// reportChange reports a change to the follower. The caller holds mu.
+func (s *SentIDs) reportChange(hash idHash, until time.Duration) {
+	if s.report != nil {
+		s.report(SentID{Hash: slices.Clone(hash[:]), Until: until})
+	}
 }
 
 // isOldestGone reports whether the oldest entry is no longer needed. The caller holds mu.
@@ -99,12 +111,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.byHash, hash)
+	s.reportChange(hash, 0)
 }
 
-// Export returns the remembered IDs, for the next process.
-func (s *SentIDs) Export() []SentID {
+// Follow returns the remembered IDs, for the next process, and calls report for each change after that until stop is
+// called. There is one follower at a time. report must not block, nor call methods of s.
+func (s *SentIDs) Follow(report func(SentID)) (exported []SentID, stop func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.report = report
+	return s.export(), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.report = nil
+	}
+}
+
+// export returns the remembered IDs. The caller holds mu.
+func (s *SentIDs) export() []SentID {
 	var exported []SentID
 	for _, entry := range s.order {
 		if remembered, ok := s.byHash[entry.hash]; ok && remembered.number == entry.number {
@@ -114,11 +138,16 @@
 	return exported
 }
 
-// Import remembers the IDs that the process before has handed over. now is the current time.
+// Import remembers the IDs that the process before has handed over, or applies changes of them. now is the current
+// time.
 func (s *SentIDs) Import(exported []SentID, now time.Duration) {
 	for _, id := range exported {
 		var hash idHash
-		if copy(hash[:], id.Hash) == len(hash) {
+		switch {
+		case copy(hash[:], id.Hash) < len(hash):
+		case id.Until == 0:
+			s.remove(hash)
+		default:
 			s.add(hash, id.Until, now)
 		}
 	}
--- a/internal/proxy/sentids_test.go
+++ b/internal/proxy/sentids_test.go
@@ -92,9 +92,42 @@
 		t.Error("the ID is forgotten with its first entry")
 	}
 	next := NewSentIDs()
-	next.Import(s.Export(), 15)
+	exported, stop := s.Follow(nil)
+	defer stop()
+	next.Import(exported, 15)
 	next.Import([]SentID{{Hash: []byte("short"), Until: 100}}, 15)
 	if !next.contains(id, 15) || !next.contains(hashID("b", "1"), 29) || len(next.byHash) != 2 {
 		t.Errorf("the next process remembers %d IDs", len(next.byHash))
 	}
 }
+
+// TestFollowedSentIDs guards against an ID that is missing at the next process because its request was sent after the
+// IDs were exported, or that stays there although its request has not run.
+func TestFollowedSentIDs(t *testing.T) {
+	s, next := NewSentIDs(), NewSentIDs()
+	id := func(n int) idHash { return hashID("a", fmt.Sprint(n)) }
+	remembered := func() (all []int) {
+		for n := range 5 {
+			if next.contains(id(n), 15) {
+				all = append(all, n)
+			}
+		}
+		return all
+	}
+	s.add(id(0), 100, 0)
+	s.add(id(1), 100, 0)
+	exported, stop := s.Follow(func(change SentID) { next.Import([]SentID{change}, 10) })
+	next.Import(exported, 10)
+	s.add(id(2), 100, 10)
+	s.add(id(3), 100, 10)
+	s.remove(id(1))
+	s.remove(id(3))
+	if got := fmt.Sprint(remembered()); got != "[0 2]" {
+		t.Errorf("the next process remembers %s, want [0 2]", got)
+	}
+	stop()
+	s.add(id(4), 100, 10)
+	if got := fmt.Sprint(remembered()); got != "[0 2]" {
+		t.Errorf("after the end of the handover the next process remembers %s, want [0 2]", got)
+	}
+}
--- a/internal/service/upgrade.go
+++ b/internal/service/upgrade.go
@@ -108,6 +108,7 @@
 	defer g.notifyOverlap(false)
 	stop := context.AfterFunc(ctx, func() { g.predecessor.Close() })
 	defer stop()
+	g.predecessor.OnUpdate = g.importSentIDs
 	for {
 		conn, unread, err := g.predecessor.Next()
 		if err != nil {
@@ -183,9 +184,12 @@
 		g.resumeServing(ctx, clients, proxy.HandoverState{})
 		return err
 	}
+	changedIDs := newSentIDQueue()
+	sentIDs, unfollow := g.SentIDs.Follow(changedIDs.push)
+	defer unfollow()
 	state, err := json.Marshal(offeredState{
 		processState: processState{Listen: g.cfg.Listen, Core: exported, Known: g.endpointList(exportCtx)},
-		SentIDs:      g.SentIDs.Export(),
+		SentIDs:      sentIDs,
 	})
 	if err == nil {
 		err = link.Offer(state, socket)
@@ -197,6 +201,9 @@
 	g.log.Info("another process serves from now on")
 	g.notifyOverlap(true)
 	defer g.notifyOverlap(false)
+	ended := make(chan struct{})
+	defer close(ended)
+	go changedIDs.sendTo(link, ended)
 	clients.Move(link.Hand)
 	link.Ended()
 	clients.Stay()
