--- a/internal/handover/doc.go
+++ b/internal/handover/doc.go
@@ -4,5 +4,6 @@
 //
 // The new process calls Take, begins to serve, and calls Link.Confirm, then Link.Next for each connection. The old
 // process listens with Listen, receives the greeting of the new one with Hello, and calls Link.Offer, then Link.Hand
-// for each connection and Link.Ended. Each side has one goroutine that receives; several may send.
+// for each connection, Link.SendUpdate for each change of the state, and Link.Ended. Each side has one goroutine that
+// receives; several may send.
 package handover
