--- a/internal/fake/peer/listen.go
+++ b/internal/fake/peer/listen.go
@@ -1,9 +1,12 @@
 package peer
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -44,3 +47,22 @@
 	}
 	return New(t, conn)
 }
+
+// ListenWithReadBuffer is Listen with a receive buffer of about the given size for each accepted connection, so that an
+// endpoint that does not read holds up a writer early.
+func ListenWithReadBuffer(t testing.TB, bytes int) net.Listener {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+		var err error
+		controlErr := conn.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+		})
+		return errors.Join(controlErr, err)
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() }) // the test may have closed it
+	return listener
+}
