Fix: an answer that its endpoint has begun is cut off while its client waits

Gateways then left out sound endpoints for 0.42 s.

For answers up to 64 KiB a bound of 0.25 s between two pieces did the same (partialAnswerTimeout), also for a value that had come whole and whose usage figures were late.

Change: usefulFor (the objective) bounds what is started, clientTimeout what has begun. The reader reports the first bytes of an answer that is not complete (BeginAnswer, ResponseBegun): from then on neither objective, probe timeout nor ejection ends the attempt, only the client's deadline; it holds no slot, adds no silence and leaves no timeout at its endpoint, which has answered. A second attempt is made only after it has ended by itself. A short value is given to the client when it is whole; usage figures have 1 s, as behind long values. The 0.25 s are gone: an answer that never ends is bounded by the client's deadline.

--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -26,7 +26,7 @@
 	}
 	req := b.newRequest(ev)
 	b.requests[req.id] = req
-	if req.timeLimit.Seconds() <= b.expectedLatency(req, nil)*minTimeLimitLatencies {
+	if req.usefulFor.Seconds() <= b.expectedLatency(req, nil)*minTimeLimitLatencies {
 		b.reject(req, 0, InsufficientTime)
 		return
 	}
@@ -56,28 +56,29 @@
 // newRequest creates the state of a request that has just arrived.
 func (b *Balancer) newRequest(ev Request) *request {
 	req := &request{
-		id:          ev.ID,
-		class:       ev.Class,
-		plan:        ev.Plan,
-		units:       max(0, ev.Units),
-		arrivedAt:   b.now,
-		timeLimit:   b.timeLimitOf(ev),
-		attempts:    attemptHistory{limit: b.settings.MaxAttempts},
-		clientRetry: ev.ClientRetry,
-		admitOnly:   ev.AdmitOnly,
-		holdFor:     ev.HoldFor,
+		id:            ev.ID,
+		class:         ev.Class,
+		plan:          ev.Plan,
+		units:         max(0, ev.Units),
+		arrivedAt:     b.now,
+		usefulFor:     b.usefulTimeOf(ev),
+		clientTimeout: ev.TimeLeft,
+		attempts:      attemptHistory{limit: b.settings.MaxAttempts},
+		clientRetry:   ev.ClientRetry,
+		admitOnly:     ev.AdmitOnly,
+		holdFor:       ev.HoldFor,
 	}
 	req.customer = b.customerFor(ev)
 	req.cost = b.latency.classes[ev.Class].costProfile.Cost(ev.Units)
 	return req
 }
 
-// timeLimitOf returns the time within which an answer to a request is still useful: the time that the client has left,
+// usefulTimeOf returns the time within which an answer to a request is still useful: the time that the client has left,
 // capped at the latency objective if late answers of the class have no weight.
 //
 // If this gateway has just stalled, the request may have waited unread. First requests of a class arrive with the same
 // time left, so the shortfall against the longest time left seen so far estimates that wait.
-func (b *Balancer) timeLimitOf(ev Request) time.Duration {
+func (b *Balancer) usefulTimeOf(ev Request) time.Duration {
 	class := &b.settings.Classes[ev.Class]
 	estimate := &b.latency.classes[ev.Class]
 	limit := ev.TimeLeft
@@ -102,7 +103,7 @@
 		return 0
 	}
 	weight := b.settings.Classes[req.class].PriorityWeight
-	return req.timeLimit.Seconds() * maxCeilingWaitFraction * weight / b.maxClassWeight
+	return req.usefulFor.Seconds() * maxCeilingWaitFraction * weight / b.maxClassWeight
 }
 
 // waitForQuota appends a request to its customer's waiting requests and serves those that the quota covers now.
@@ -155,7 +156,7 @@
 // from the ceiling. The request counts as in flight until it is reported done or its hold time has passed.
 func (b *Balancer) grantAdmission(req *request) {
 	plan := &b.settings.Plans[req.plan]
-	if b.now >= req.deadline() || !b.drawCeiling(req, plan) {
+	if b.now >= req.usefulUntil() || !b.drawCeiling(req, plan) {
 		b.reject(req, b.refillTime(req.customer, plan, req.units), CeilingExceeded)
 		return
 	}
--- a/internal/balancer/attemptresult.go
+++ b/internal/balancer/attemptresult.go
@@ -11,7 +11,7 @@
 		return
 	}
 	req.attempts.close(att)
-	if att.responseStarted { // handleFirstByte has freed the slot and recorded the latency
+	if att.streaming { // handleFirstByte has freed the slot and recorded the latency
 		b.finish(req)
 		b.forgetIfDone(req)
 		return
@@ -51,10 +51,31 @@
 		return
 	}
 	req.streaming = true
-	att.responseStarted = true
+	att.streaming = true
 	req.attempts.recordRun(att)
 	att.endpoint.removeAttempt(att)
-	b.recordResult(att, AttemptResult{Status: OK, Latency: b.now - att.sentAt})
+	b.recordResult(att, AttemptResult{Status: OK, Latency: att.latency(b.now)})
+	b.dispatchQueued(att.endpoint)
+}
+
+// handleResponseBegun frees the slot of an attempt when the first bytes of its response arrive. From then on neither
+// the latency objective nor an ejection ends the attempt, only the client's deadline.
+func (b *Balancer) handleResponseBegun(ev ResponseBegun) {
+	req := b.requests[ev.ID]
+	if req == nil || req.ended {
+		return
+	}
+	att := req.attempts.find(ev.Attempt)
+	if att == nil || att.responseBegun {
+		return
+	}
+	att.responseBegun = true
+	att.responseBegunAt = b.now
+	att.endpoint.removeAttempt(att)
+	b.recordResponse(att)
+	if req.usefulUntil() < req.clientDeadline() {
+		b.setDeadlineTimer(req)
+	}
 	b.dispatchQueued(att.endpoint)
 }
 
@@ -69,8 +90,9 @@
 	ratio := min(latency/(class.meanLatency*att.request.cost), maxLatencyRatio)
 	b.recordFleetResult(ep, ev.Status, ratio)
 
-	isOutOfTime := ev.Status == Timeout || ev.Status == Cancelled && b.isNearDeadline(att.request)
-	switch status := b.statusForEndpoint(att.request, ev.Status); status {
+	isOutOfTime := !att.responseBegun &&
+		(ev.Status == Timeout || ev.Status == Cancelled && b.isNearDeadline(att.request))
+	switch status := b.statusForEndpoint(att, ev.Status); status {
 	case Reset, ConnectFailed:
 		b.recordConnectionFailure(ep)
 	case Timeout:
@@ -104,16 +126,19 @@
 }
 
 // statusForEndpoint returns the result as it counts for the endpoint. An attempt that was cancelled because its request
-// reached the deadline counts as a timeout.
-func (b *Balancer) statusForEndpoint(req *request, status Status) Status {
-	if status == Cancelled && req.ended && b.isNearDeadline(req) {
+// was no longer useful counts as a timeout. An endpoint that has begun its response has not timed out.
+func (b *Balancer) statusForEndpoint(att *attempt, status Status) Status {
+	switch {
+	case att.responseBegun && status == Timeout:
+		return Cancelled
+	case !att.responseBegun && status == Cancelled && att.request.ended && b.isNearDeadline(att.request):
 		return Timeout
 	}
 	return status
 }
 
-// isNearDeadline reports whether a request is less than a tick before its deadline, or past it.
-func (b *Balancer) isNearDeadline(req *request) bool { return b.now >= req.deadline()-tickInterval }
+// isNearDeadline reports whether a request is less than a tick before the end of its useful time, or past it.
+func (b *Balancer) isNearDeadline(req *request) bool { return b.now >= req.usefulUntil()-tickInterval }
 
 // recordConnectionFailure counts a broken connection. A single failure says nothing about the endpoint; consecutive
 // failures first shrink its concurrency limit and then eject it.
@@ -158,7 +183,7 @@
 	ep.latency.recordAnswer(ratio)
 	if !ep.slowStart.active {
 		b.recordWarmAnswer(req.cost)
-	} else if latency <= req.timeLimit.Seconds() {
+	} else if latency <= req.usefulFor.Seconds() {
 		ep.slowStart.budget.RecordAnswer(b.now, req.cost)
 	}
 	b.latency.classes[req.class].recordAnswer(latency, req)
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -141,6 +141,8 @@
 		b.handleAttemptResult(ev)
 	case FirstByte:
 		b.handleFirstByte(ev)
+	case ResponseBegun:
+		b.handleResponseBegun(ev)
 	case CounterResult:
 		b.handleCounterResult(ev)
 	case LateCounterResult:
--- a/internal/balancer/ceilinglease.go
+++ b/internal/balancer/ceilinglease.go
@@ -104,7 +104,7 @@
 
 // ceilingWaitLimit returns how many seconds a request may wait for the ceiling.
 func (req *request) ceilingWaitLimit() float64 {
-	return req.timeLimit.Seconds() * maxCeilingWaitFraction
+	return req.usefulFor.Seconds() * maxCeilingWaitFraction
 }
 
 // ceilingLeaseWait returns the time in seconds until a request that joins its customer's queue may have leased units.
--- a/internal/balancer/concurrency.go
+++ b/internal/balancer/concurrency.go
@@ -103,7 +103,7 @@
 	fleetLimit := ep.concurrency.limit * b.liveGateways()
 	class.updateIdleLatency(fleetLimit <= idleFleetLimit)
 	high := min(
-		req.timeLimit.Seconds()*latencyHeadroomFraction*shrinkDeadlineFraction,
+		req.usefulFor.Seconds()*latencyHeadroomFraction*shrinkDeadlineFraction,
 		shrinkLatencyRatio*class.idleLatency,
 	)
 	latency := class.meanLatency * ep.latency.factor
--- a/internal/balancer/dispatch.go
+++ b/internal/balancer/dispatch.go
@@ -58,18 +58,18 @@
 }
 
 // canDispatch reports whether a request may have an attempt at an endpoint now. It must have no open attempt, attempts
-// left and time before its deadline, and must not risk a second effect.
+// left and time for a useful answer, and must not risk a second effect.
 func (b *Balancer) canDispatch(req *request, ep *endpoint) bool {
 	return req.attempts.open == 0 &&
 		req.attempts.canAdd() &&
 		b.canRetryOn(req, ep) &&
-		b.now < req.deadline()
+		b.now < req.usefulUntil()
 }
 
-// attemptTimeout returns the timeout of an attempt dispatched now. The timeout of a probe is short enough to leave time
-// for another attempt.
+// attemptTimeout returns the time within which the response to an attempt dispatched now must begin. The timeout of a
+// probe is short enough to leave time for another attempt.
 func (b *Balancer) attemptTimeout(req *request, kind attemptKind) time.Duration {
-	timeout := req.deadline() - b.now
+	timeout := req.usefulUntil() - b.now
 	if kind == probeAttempt {
 		probeTimeout := probeTimeoutLatencies * b.expectedLatency(req, nil)
 		timeout = min(timeout, time.Duration(probeTimeout*float64(time.Second)))
--- a/internal/balancer/doc.go
+++ b/internal/balancer/doc.go
@@ -14,7 +14,7 @@
 // rate, round robin selects an endpoint, and the measured latency is compared with the time limit to decide which
 // queued requests are dispatched and which are rejected. Let
 //
-//	tau   be the time limit of a request (request.timeLimit)
+//	tau   be the time limit of a request (request.usefulFor)
 //	f     the fraction of it available for queueing and service (latencyHeadroomFraction)
 //	w     the time that the request has waited
 //	L     the latency of a mean request: the class's mean multiplied by the endpoint's latency factor
--- a/internal/balancer/endpoint.go
+++ b/internal/balancer/endpoint.go
@@ -33,7 +33,7 @@
 	// preferNext is set when an administrator restores the endpoint, and cleared by its next attempt.
 	preferNext bool
 
-	// inFlight holds the attempts without a result, in order of dispatch.
+	// inFlight holds the attempts whose response has not begun, in order of dispatch.
 	inFlight []*attempt
 	// inFlightWork is the summed cost of inFlight, in mean requests.
 	inFlightWork float64
@@ -64,9 +64,13 @@
 	ep.slowStart.recordDispatch(now, att.request.cost)
 }
 
-// removeAttempt frees the slot of an attempt.
+// removeAttempt frees the slot of an attempt, unless it was freed before.
 func (ep *endpoint) removeAttempt(att *attempt) {
-	ep.inFlight = slices.DeleteFunc(ep.inFlight, func(other *attempt) bool { return other == att })
+	i := slices.Index(ep.inFlight, att)
+	if i < 0 {
+		return
+	}
+	ep.inFlight = slices.Delete(ep.inFlight, i, i+1)
 	ep.inFlightWork -= att.request.cost
 	if len(ep.inFlight) == 0 {
 		ep.inFlightWork = 0
--- a/internal/balancer/event.go
+++ b/internal/balancer/event.go
@@ -83,6 +83,13 @@
 	Attempt int
 }
 
+// ResponseBegun reports that the first bytes of the response to an attempt have arrived. The latency objective no
+// longer ends the request, only its client's deadline does.
+type ResponseBegun struct {
+	ID      uint64
+	Attempt int
+}
+
 // CounterResult is the response to a CounterAdd.
 type CounterResult struct {
 	// Name identifies the counter.
@@ -268,6 +275,7 @@
 func (RequestDone) event()       {}
 func (AttemptResult) event()     {}
 func (FirstByte) event()         {}
+func (ResponseBegun) event()     {}
 func (CounterResult) event()     {}
 func (LateCounterResult) event() {}
 func (TimerFired) event()        {}
--- a/internal/balancer/handover.go
+++ b/internal/balancer/handover.go
@@ -52,7 +52,7 @@
 	ends := map[*customer][]time.Duration{}
 	for _, req := range b.requests {
 		if req.inFlight {
-			ends[req.customer] = append(ends[req.customer], max(req.arrivedAt+req.timeLimit, req.holdUntil))
+			ends[req.customer] = append(ends[req.customer], max(req.answerDeadline(), req.holdUntil))
 		}
 	}
 	for _, times := range ends {
--- a/internal/balancer/largefleet.go
+++ b/internal/balancer/largefleet.go
@@ -63,7 +63,7 @@
 // hasWaitedForCounter reports whether a request has reached its limit of waiting for the counter or for permission
 // to call it.
 func (b *Balancer) hasWaitedForCounter(req *request) bool {
-	return (b.now - req.arrivedAt).Seconds() > req.timeLimit.Seconds()*maxCounterWaitFraction
+	return (b.now - req.arrivedAt).Seconds() > req.usefulFor.Seconds()*maxCounterWaitFraction
 }
 
 // awaitsLateAnswer reports whether a request's call has timed out but may still be answered.
--- a/internal/balancer/outlier.go
+++ b/internal/balancer/outlier.go
@@ -230,7 +230,7 @@
 	return b.settings.Classes[req.class].Idempotency == Idempotent &&
 		len(req.attempts.all) == 0 &&
 		req.attempts.limit >= 2 &&
-		req.timeLimit.Seconds() >= minProbeTimeLatencies*b.expectedLatency(req, nil)
+		req.usefulFor.Seconds() >= minProbeTimeLatencies*b.expectedLatency(req, nil)
 }
 
 // handleHealthCheckResult reinstates an ejected endpoint after a successful health check, and schedules the next probe
--- a/internal/balancer/queue.go
+++ b/internal/balancer/queue.go
@@ -161,7 +161,7 @@
 // time limit (EQ 3). A nil endpoint means an average one.
 func (b *Balancer) isStale(req *request, ep *endpoint) bool {
 	expected := req.waited(b.now).Seconds() + b.expectedLatency(req, ep)
-	return expected >= req.timeLimit.Seconds()*latencyHeadroomFraction
+	return expected >= req.usefulFor.Seconds()*latencyHeadroomFraction
 }
 
 // isLevelOpen reports whether the queued work down to a level is expected to finish within the part of the time limit
@@ -169,7 +169,7 @@
 func (b *Balancer) isLevelOpen(req *request, to *endpoint, work float64) bool {
 	meanLatency := b.latency.classes[req.class].meanLatency
 	ahead := (work + to.inFlightWork) * meanLatency * to.latency.factor / to.concurrency.limit
-	return ahead < req.timeLimit.Seconds()*latencyHeadroomFraction*queueDeadlineFraction
+	return ahead < req.usefulFor.Seconds()*latencyHeadroomFraction*queueDeadlineFraction
 }
 
 // reassignQueue assigns the requests queued at an endpoint that is no longer usable to other endpoints. All of them are
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // request is a request that has no final answer yet or still has attempts in flight.
 type request struct {
@@ -15,8 +18,11 @@
 	cost float64
 	// arrivedAt is when the request arrived.
 	arrivedAt time.Duration
-	// timeLimit is the time from arrival within which an answer is useful: tau in the paper.
-	timeLimit time.Duration
+	// usefulFor is the time from arrival within which an answer is useful: tau in the paper. It decides what is worth
+	// starting.
+	usefulFor time.Duration
+	// clientTimeout is the time from arrival for which the client waits. Only this bounds a response that has begun.
+	clientTimeout time.Duration
 	// level is the priority level; 0 is the highest.
 	level int
 	// clientRetry is set if the client marked the request as a retry of an earlier one.
@@ -117,6 +123,11 @@
 	return h.all[number]
 }
 
+// hasBegunResponse reports whether the response to an attempt has begun and may still be completed.
+func (h *attemptHistory) hasBegunResponse() bool {
+	return slices.ContainsFunc(h.all, func(att *attempt) bool { return att.open && att.responseBegun })
+}
+
 // canAdd reports whether the limit allows another attempt.
 func (h *attemptHistory) canAdd() bool { return len(h.all) < h.limit }
 
@@ -144,8 +155,21 @@
 	kind attemptKind
 	// open is set until the attempt's result arrives.
 	open bool
-	// responseStarted is set once the response has started to arrive, which shows that the endpoint has done its work.
-	responseStarted bool
+	// responseBegun is set once the first bytes of the response have arrived, which show that the endpoint has done its
+	// work. The attempt holds no slot from then on.
+	responseBegun bool
+	// responseBegunAt is when that was. It is used while responseBegun is set.
+	responseBegunAt time.Duration
+	// streaming is set once the response is being passed on to the client.
+	streaming bool
+}
+
+// latency returns the time from dispatch to the first bytes of the response, which arrive now unless they have before.
+func (att *attempt) latency(now time.Duration) time.Duration {
+	if att.responseBegun {
+		now = att.responseBegunAt
+	}
+	return now - att.sentAt
 }
 
 // attemptKind is the reason why an attempt is sent to its endpoint.
@@ -158,8 +182,20 @@
 	probeAttempt
 )
 
-// deadline returns the time from which an answer is no longer useful.
-func (req *request) deadline() time.Duration { return req.arrivedAt + req.timeLimit }
+// usefulUntil returns the time from which an answer is no longer useful. Nothing is started for the request from then
+// on, and it ends unless a response has begun.
+func (req *request) usefulUntil() time.Duration { return req.arrivedAt + req.usefulFor }
+
+// clientDeadline returns the time until which the client waits.
+func (req *request) clientDeadline() time.Duration { return req.arrivedAt + req.clientTimeout }
+
+// answerDeadline returns the time by which the request gets its final answer.
+func (req *request) answerDeadline() time.Duration {
+	if req.attempts.hasBegunResponse() {
+		return req.clientDeadline()
+	}
+	return req.usefulUntil()
+}
 
 // waited returns the time since the request arrived.
 func (req *request) waited(now time.Duration) time.Duration { return now - req.arrivedAt }
--- a/internal/balancer/retry.go
+++ b/internal/balancer/retry.go
@@ -17,7 +17,7 @@
 
 // hasTimeForAttempt reports whether an attempt dispatched now is expected to be answered before the deadline.
 func (b *Balancer) hasTimeForAttempt(req *request) bool {
-	return req.waited(b.now).Seconds()+b.expectedLatency(req, nil) < req.timeLimit.Seconds()
+	return req.waited(b.now).Seconds()+b.expectedLatency(req, nil) < req.usefulFor.Seconds()
 }
 
 // canRetryOn reports whether an attempt of a request may go to an endpoint without risking a second effect. A request
--- a/internal/balancer/shedding.go
+++ b/internal/balancer/shedding.go
@@ -67,7 +67,7 @@
 	class := &b.latency.classes[req.class]
 	latency := class.meanLatency * max(1, b.latency.fleetSlowdown) * req.cost
 	idleLatency := cmp.Or(class.idleLatency*req.cost, latency)
-	usableTime := max(minUsableTime, req.timeLimit.Seconds()*latencyHeadroomFraction-idleLatency)
+	usableTime := max(minUsableTime, req.usefulFor.Seconds()*latencyHeadroomFraction-idleLatency)
 	waitFraction := (latency - idleLatency) / usableTime * (1 + shedLevelSlope*float64(req.level)/lowestLevel)
 	probability := min(shedMaxProbability, (waitFraction-shedStartFraction)/(shedFullFraction-shedStartFraction))
 	return b.rng.Float64() < min(1, shedScarcityFactor*b.evidenceScarcity())*probability
@@ -80,5 +80,5 @@
 	queued := ep.queue.workUpTo(req.level, req.cost) * meanLatency / ep.concurrency.limit
 	expected := req.waited(b.now).Seconds() + queued + b.expectedLatency(req, ep)
 	share := joinDeadlineFraction * math.Pow(1-float64(req.level)/(2*priorityBands), 2)
-	return expected >= req.timeLimit.Seconds()*latencyHeadroomFraction*share
+	return expected >= req.usefulFor.Seconds()*latencyHeadroomFraction*share
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -15,8 +15,8 @@
 	request *Request
 	// number is the index of the attempt within its request, from 0.
 	number int
-	// responseStarted reports that a long value has begun to arrive.
-	responseStarted bool
+	// streaming reports that a long value is being passed on.
+	streaming bool
 	// sent reports that the attempt was passed to Upstream.
 	sent bool
 }
@@ -28,7 +28,7 @@
 		return nil
 	}
 	a.request.deadlineTimer.Stop()
-	a.responseStarted = true
+	a.streaming = true
 	a.request.streaming = true
 	a.proxy.transfers.Add(1)
 	for _, other := range a.request.attempts { // their answers could only cut off this one
@@ -40,10 +40,18 @@
 	return streamer.Stream(size)
 }
 
-// CompleteLongValue implements upstream.Owner. The client has its whole answer, so the rest of the endpoint's answer
-// must not hold up the answers behind it.
-func (a *attempt) CompleteLongValue() {
-	a.proxy.answer(a.request, Answer{Outcome: Served})
+// BeginAnswer implements upstream.Owner. From here on only the deadline of the client ends the attempt.
+func (a *attempt) BeginAnswer() {
+	a.proxy.Enqueue(balancer.ResponseBegun{ID: a.request.id, Attempt: a.number})
+}
+
+// CompleteValue implements upstream.Owner. The client gets its whole answer, so the rest of the endpoint's answer must
+// not hold up the answers behind it.
+func (a *attempt) CompleteValue(value []byte) {
+	if value != nil {
+		a.proxy.Enqueue(balancer.FirstByte{ID: a.request.id, Attempt: a.number})
+	}
+	a.proxy.answer(a.request, Answer{Outcome: Served, Value: value})
 }
 
 // Command implements upstream.Owner. It returns nil if the client has disconnected.
@@ -60,7 +68,7 @@
 	switch {
 	case result.Status == balancer.OK:
 		a.proxy.answer(a.request, Answer{Outcome: Served, Value: result.Value})
-	case a.responseStarted:
+	case a.streaming:
 		a.proxy.answer(a.request, Answer{Outcome: Failed})
 	}
 	a.request.pendingAttempts--
@@ -103,6 +111,8 @@
 		Deadline: request.deadline,
 		WriteBy:  action.WriteBy,
 		Owner:    a,
+
+		AnswerDeadline: request.deadline,
 	}
 	if action.Timeout > 0 {
 		a.Deadline = min(a.Deadline, now+action.Timeout)
--- a/internal/resp/longvalue.go
+++ b/internal/resp/longvalue.go
@@ -63,6 +63,24 @@
 	return arrayHeader + bulkHeader, items, size
 }
 
+// FirstValue returns the first item of the next message, which is not complete yet, if the message is an array that
+// begins with a complete bulk string that is not null; otherwise nil. The bytes are valid until the next call of Next.
+func (r *Reader) FirstValue() []byte {
+	b := r.buffer[r.start:]
+	if len(b) == 0 || b[0] != redcon.Array {
+		return nil
+	}
+	_, header := parseLengthLine(b[:min(len(b), maxHeaderBytes)], redcon.Array)
+	if header == 0 || len(b) == header || b[header] != redcon.Bulk || bytes.HasPrefix(b[header:], []byte("$-")) {
+		return nil
+	}
+	length, _, err := itemLength(b[header:], cmp.Or(r.MaxValue, MaxValueBytes))
+	if err != nil || length == 0 {
+		return nil
+	}
+	return b[header : header+length]
+}
+
 // parseLengthLine parses a line such as $12. It returns the number and the bytes of the line, or 0 bytes if it is not
 // such a line or not complete.
 func parseLengthLine(b []byte, kind redcon.Type) (number, consumed int) {
--- a/internal/resp/reader_test.go
+++ b/internal/resp/reader_test.go
@@ -244,3 +244,28 @@
 		}
 	}
 }
+
+// TestFirstValue verifies that the first item of an incomplete array is returned once it is complete, and nothing else.
+func TestFirstValue(t *testing.T) {
+	for text, want := range map[string]string{
+		"":                          "",
+		"*":                         "",
+		"*3\r\n":                    "",
+		"*3\r\n$2\r\nv":             "",
+		"*3\r\n$2\r\nvv\r":          "",
+		"*3\r\n$2\r\nvv\r\n":        "$2\r\nvv\r\n",
+		"*3\r\n$0\r\n\r\n":          "$0\r\n\r\n",
+		"*3\r\n$2\r\nvv\r\n$4\r\nu": "$2\r\nvv\r\n",
+		"*3\r\n$-1\r\n":             "",
+		"*3\r\n+OK\r\n":             "",
+		"*3\r\n*1\r\n$1\r\nv\r\n":   "",
+		"$2\r\nv":                   "",
+		"-ERR f":                    "",
+	} {
+		reader := &Reader{Source: strings.NewReader("")}
+		reader.Prefill([]byte(text))
+		if got := string(reader.FirstValue()); got != want {
+			t.Errorf("%q: got %q, want %q", text, got, want)
+		}
+	}
+}
--- a/internal/service/slowanswer_test.go
+++ b/internal/service/slowanswer_test.go
@@ -105,6 +105,47 @@
 	}
 }
 
+// TestBegunAnswerOutlastsWhatHappensMeanwhile guards against an answer that has begun and is cut off by a reload, the
+// drain or the ejection of its endpoint, or a shutdown.
+func TestBegunAnswerOutlastsWhatHappensMeanwhile(t *testing.T) {
+	for change, meanwhile := range map[string]func(env *testEnv){
+		"a reload": func(env *testEnv) {
+			cfg := *env.gateway.cfg
+			if err := env.gateway.Reload(func() (*Config, error) { return &cfg, nil }); err != nil {
+				env.t.Error(err)
+			}
+		},
+		"the endpoint drains": func(env *testEnv) {
+			list := endpoints(2, env.gateway.cfg.KnownEndpoints.Endpoints[0].Address)
+			list.Endpoints[0].Status = "DRAINING"
+			env.updates <- list
+		},
+		"the endpoint is removed": func(env *testEnv) { env.updates <- endpoints(2) },
+		"an operator ejects it":   func(env *testEnv) { env.command("DETACH s-0") },
+		"a shutdown":              func(env *testEnv) { env.stop() },
+	} {
+		for place, answer := range pausedAnswers() {
+			t.Run(change+", "+place, func(t *testing.T) {
+				t.Parallel()
+				ln := peer.Listen(t)
+				env := start(t, []string{ln.Addr().String()}, withObjective(answerResumesAt/2))
+				c := env.dial()
+				c.Command(patientCommands()["keyed"]...)
+				b := peer.Accept(t, ln)
+				b.Message()
+				b.Write(answer.begin)
+				time.Sleep(answerResumesAt / 4)
+				meanwhile(env)
+				time.Sleep(answerResumesAt)
+				b.Write(answer.rest)
+				if m := c.Message(); len(m[0]) != answer.size {
+					t.Errorf("%d bytes that begin with %.20q, want %d", len(m[0]), m[0], answer.size)
+				}
+			})
+		}
+	}
+}
+
 // TestValueIsGivenWithoutItsUsageFigures guards against a value that has come whole and is not passed on, because the
 // usage figures behind it are late or never come.
 func TestValueIsGivenWithoutItsUsageFigures(t *testing.T) {
--- /dev/null
+++ b/internal/upstream/answerbegun_test.go
@@ -0,0 +1,66 @@
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	"gapgap/internal/balancer"
+	"gapgap/internal/fake/peer"
+)
+
+// TestBegunAnswerHasItsOwnDeadline guards against an answer that is cut off at the deadline of its attempt, that of a
+// probe for instance, after it has begun.
+func TestBegunAnswerHasItsOwnDeadline(t *testing.T) {
+	ln := peer.Listen(t)
+	h := newHarness(t, ln.Addr().String())
+	a := &Attempt{
+		Endpoint:       "s-0",
+		SentAt:         h.Now(),
+		Deadline:       h.Now() + time.Second,
+		AnswerDeadline: h.Now() + 10*time.Second,
+		Owner:          testOwner{h},
+	}
+	h.pool.Send(a)
+	b := peer.Accept(t, ln)
+	peer.Pump(t, h.Loop, func() bool { return a.connection.writeState.Load() == writeComplete })
+	b.Message()
+	b.Write("*")
+	peer.Pump(t, h.Loop, func() bool { return h.begun > 0 })
+	h.RunDue(a.AnswerDeadline - 1)
+	if len(h.outcomes) > 0 {
+		t.Fatalf("ended before its deadline: %v", h.outcomes)
+	}
+	h.RunDue(a.AnswerDeadline)
+	wantOutcome(t, h, balancer.Timeout)
+	if h.begun != 1 {
+		t.Errorf("reported as begun %d times", h.begun)
+	}
+	b.WantsEnd()
+}
+
+// TestShortValueWithLateUsageFigures guards against a value that waits for its usage figures: the owner gets it at
+// once, and the figures count if they come within their time.
+func TestShortValueWithLateUsageFigures(t *testing.T) {
+	for name, figures := range map[string]string{"late": soundTail, "never": "", "malformed": "x\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			ln := peer.Listen(t)
+			h := newHarness(t, ln.Addr().String())
+			h.pool.cfg.UsageTimeout = 200 * time.Millisecond
+			a, b := startAttempt(t, h, ln)
+			b.Write("*3\r\n$5\r\nvalue\r\n")
+			peer.Pump(t, h.Loop, func() bool { return h.completed > 0 })
+			h.RunDue(a.Deadline) // it has no deadline any more
+			h.pool.Cancel(a)     // nor does the end of its request end it
+			b.Write(figures)
+			peer.Pump(t, h.Loop, func() bool { return len(h.outcomes) > 0 })
+			wantOutcome(t, h, balancer.OK)
+			isSound := figures == soundTail
+			if idle := len(h.pool.endpoints["s-0"].idle); idle == 1 != isSound || h.quotaUsed == 38 != isSound {
+				t.Errorf("%d idle connections, quota used %d", idle, h.quotaUsed)
+			}
+			if !isSound {
+				b.WantsEnd()
+			}
+		})
+	}
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -13,8 +13,11 @@
 	Endpoint string
 	// SentAt is the time of dispatch, on the loop clock.
 	SentAt time.Duration
-	// Deadline is the time at which the attempt ends with status Timeout.
+	// Deadline is the time at which the attempt ends with status Timeout if its answer has not begun.
 	Deadline time.Duration
+	// AnswerDeadline is the time at which the attempt ends with status Timeout if its answer has begun. Deadline
+	// applies if that is later; 0 means that no later time applies.
+	AnswerDeadline time.Duration
 	// WriteBy is the time by which the last byte must be written; otherwise the attempt ends as not sent. 0 means no
 	// limit.
 	WriteBy time.Duration
@@ -25,10 +28,10 @@
 	writeTimer   *eventloop.Timer
 	connection   *connection
 	ended        bool
-	// longValueAt is the time at which a long value began to arrive. 0 means that none has.
-	longValueAt time.Duration
-	// valueComplete reports that a long value has been written to its sink as a whole. What is left of the answer is
-	// awaited for a bounded time, whatever becomes of the request.
+	// answerBegunAt is the time at which an answer that did not come at once began. 0 means that none has.
+	answerBegunAt time.Duration
+	// valueComplete reports that the owner has the value as a whole. What is left of the answer is awaited for a bounded
+	// time, whatever becomes of the request.
 	valueComplete bool
 }
 
@@ -40,9 +43,13 @@
 	// StartLongValue announces a long value of size bytes, which is forwarded in pieces. It returns nil if the value is
 	// not wanted.
 	StartLongValue(size int) Sink
-	// CompleteLongValue reports that the long value has been written to its sink as a whole. HandleResult follows with
-	// status OK once the rest of the answer has arrived or is given up.
-	CompleteLongValue()
+	// BeginAnswer reports that the first bytes of an answer have come that is not complete yet. It is called once at
+	// most. AnswerDeadline applies from then on.
+	BeginAnswer()
+	// CompleteValue reports that the value is complete and the rest of the answer is not. value is a RESP2 bulk string;
+	// it is nil if the value was written to its sink. HandleResult follows with status OK once the rest of the answer
+	// has arrived or is given up.
+	CompleteValue(value []byte)
 	// HandleResult receives the result of the attempt. It is called exactly once.
 	HandleResult(Result)
 }
@@ -74,10 +81,10 @@
 	a.Owner.HandleResult(result)
 }
 
-// Latency returns the time from dispatch to the answer, or to the first byte of a long value.
+// Latency returns the time from dispatch to the first bytes of the answer.
 func (a *Attempt) Latency(now time.Duration) time.Duration {
-	if a.longValueAt > 0 {
-		return a.longValueAt - a.SentAt
+	if a.answerBegunAt > 0 {
+		return a.answerBegunAt - a.SentAt
 	}
 	return now - a.SentAt
 }
@@ -138,7 +145,7 @@
 }
 
 // Cancel ends an attempt. It does nothing if the attempt has ended, was never sent, or only waits for the rest of its
-// answer after a long value.
+// answer after the value.
 func (p *Pool) Cancel(a *Attempt) {
 	if a.ended || a.connection == nil || a.valueComplete {
 		return
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -21,11 +22,8 @@
 	defaultStallTimeout = 5 * time.Second
 	// defaultValueTimeout bounds the time spent waiting for the endpoint in the course of a whole long value.
 	defaultValueTimeout = 60 * time.Second
-	// defaultUsageTimeout bounds the time from the end of a long value to the end of its answer.
+	// defaultUsageTimeout bounds the time from the end of a value to the end of its answer.
 	defaultUsageTimeout = time.Second
-	// partialAnswerTimeout bounds the time between two pieces of any other answer. An answer that stalls for so long
-	// announced a wrong length.
-	partialAnswerTimeout = 250 * time.Millisecond
 )
 
 // connection is a connection to an endpoint. It carries one attempt or health check at a time and is closed when that
@@ -65,11 +63,13 @@
 	answersRead int32
 	// deadlineSet reports that a read deadline is set.
 	deadlineSet bool
+	// answerBegun reports that the loop knows that the current answer has begun.
+	answerBegun bool
 	// longValue reports that a long value is being read.
 	longValue bool
 	// valueTimeLeft is how much longer the reader waits for the rest of the long value.
 	valueTimeLeft time.Duration
-	// usageDeadline is that of the rest of an answer after its long value; zero: no such rest is awaited.
+	// usageDeadline is that of the rest of an answer after its value; zero: no such rest is awaited.
 	usageDeadline time.Time
 }
 
@@ -174,14 +174,16 @@
 			return
 		}
 		c.answersRead++
+		c.answerBegun = false
 		r.surplus = r.surplus || c.reader.HasPartialMessage()
 		c.pool.loop.Post(func() { c.pool.handleReply(c, r) })
 	}
 }
 
-// waitForMemory reserves memory for an answer. It blocks until there is enough, ctx is done, or what follows a long
-// value is awaited no longer.
+// waitForMemory reserves memory for an answer. It blocks until there is enough, ctx is done, or what follows a value is
+// awaited no longer.
 func (c *connection) waitForMemory(ctx context.Context, n int64) error {
+	c.reportProgress()
 	if !c.usageDeadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, c.usageDeadline)
@@ -219,15 +221,50 @@
 // readAnswer reads the next answer.
 func (c *connection) readAnswer() (reply, error) {
 	message, err := c.reader.Next()
+	valueGiven := !c.usageDeadline.IsZero()
+	c.usageDeadline = time.Time{}
 	switch {
 	case errors.Is(err, resp.ErrLongValue):
 		return c.forwardLongValue()
+	case err != nil && valueGiven:
+		return reply{status: balancer.OK, surplus: true}, nil // the connection is not reused
 	case err != nil:
 		return reply{}, err
 	}
 	return parseReply(message), nil
 }
 
+// reportProgress tells the loop what has come of the current answer if it is not complete: that it has begun, and its
+// value. From the value on only the usage figures are awaited, for a bounded time.
+func (c *connection) reportProgress() {
+	isAnswer := c.reader.HasPartialMessage() && c.commandsSent.Load() != c.answersRead
+	if !isAnswer || !c.usageDeadline.IsZero() {
+		return
+	}
+	c.reportBegun()
+	value := c.reader.FirstValue()
+	if value == nil {
+		return
+	}
+	c.usageDeadline = c.usageTimeoutFromNow()
+	given := bytes.Clone(value)
+	c.pool.loop.Post(func() { c.pool.handleValueComplete(c, given) })
+}
+
+// reportBegun tells the loop that the current answer has begun, once.
+func (c *connection) reportBegun() {
+	if c.answerBegun {
+		return
+	}
+	c.answerBegun = true
+	c.pool.loop.Post(func() { c.pool.handleAnswerBegun(c) })
+}
+
+// usageTimeoutFromNow returns the time until which the rest of an answer is awaited whose value is complete now.
+func (c *connection) usageTimeoutFromNow() time.Time {
+	return time.Now().Add(cmp.Or(c.pool.cfg.UsageTimeout, defaultUsageTimeout))
+}
+
 // endReader records why the reader ended. While a command is being written, its writer posts the end of the connection
 // instead, since only the writer knows how much was written.
 func (c *connection) endReader(netConn net.Conn, err error) {
@@ -245,7 +282,8 @@
 var errUnrequested = errors.New("received bytes without an outstanding command")
 
 // answerReader reads from the socket for a resp.Reader. It rejects bytes received while no answer is outstanding, since
-// they would be mistaken for the start of the next answer, and it times out an answer that stalls.
+// they would be mistaken for the start of the next answer, and it times out a long value that stalls and usage figures
+// that do not come. Any other part of an answer is bounded by the deadline of its attempt.
 type answerReader struct {
 	connection *connection
 	netConn    net.Conn
@@ -257,14 +295,8 @@
 	if c.longValue {
 		return r.readLongValue(b)
 	}
-	var deadline time.Time
-	switch {
-	case !c.usageDeadline.IsZero():
-		deadline = c.usageDeadline
-	case c.reader.HasPartialMessage():
-		deadline = time.Now().Add(partialAnswerTimeout)
-	}
-	r.setDeadline(deadline)
+	c.reportProgress()
+	r.setDeadline(c.usageDeadline)
 	n, err := r.netConn.Read(b)
 	if n > 0 && c.commandsSent.Load() == c.answersRead {
 		return 0, errUnrequested
--- a/internal/upstream/longvalue.go
+++ b/internal/upstream/longvalue.go
@@ -25,15 +25,18 @@
 
 // forwardLongValue reads an answer that begins with a long value and streams the value to a sink. It reads no more than
 // the sink has accepted, so a slow client slows down the endpoint. The owner learns of the end of the value at once. An
-// endpoint that has only announced the value has given nothing yet, so the attempt keeps its deadline until the first
+// endpoint that has only announced the value has given nothing yet, so the attempt has its deadline until the first
 // bytes come.
 func (c *connection) forwardLongValue() (reply, error) {
 	items, size := c.reader.StartLongValue()
-	c.longValue = true
-	c.valueTimeLeft = cmp.Or(c.pool.cfg.ValueTimeout, defaultValueTimeout)
+	if !c.reader.HasPartialMessage() {
+		c.reportBegun()
+	}
 	if err := c.reader.AwaitLongValue(); err != nil {
 		return reply{}, err
 	}
+	c.longValue = true
+	c.valueTimeLeft = cmp.Or(c.pool.cfg.ValueTimeout, defaultValueTimeout)
 	sink := c.beginLongValue(size)
 	if sink == nil {
 		c.noConsumer.Store(true)
@@ -53,7 +56,7 @@
 	if err != nil {
 		return reply{}, err
 	}
-	c.pool.loop.Post(func() { c.pool.handleLongValueComplete(c) })
+	c.pool.loop.Post(func() { c.pool.handleValueComplete(c, nil) })
 	return c.readUsageFigures(items - 1), nil
 }
 
@@ -61,7 +64,7 @@
 // time, the value still counts as served, but the connection is not reused.
 func (c *connection) readUsageFigures(items int) reply {
 	r := reply{status: balancer.OK}
-	c.usageDeadline = time.Now().Add(cmp.Or(c.pool.cfg.UsageTimeout, defaultUsageTimeout))
+	c.usageDeadline = c.usageTimeoutFromNow()
 	defer func() { c.usageDeadline = time.Time{} }()
 	for i := range items {
 		message, err := c.reader.Next()
@@ -76,13 +79,36 @@
 	return r
 }
 
-// handleLongValueComplete reports on the loop that a long value has been written to its sink as a whole.
-func (p *Pool) handleLongValueComplete(c *connection) {
-	if c.closed || c.attempt == nil {
+// handleValueComplete reports on the loop that the value of an answer is complete. A nil value was written to its sink.
+func (p *Pool) handleValueComplete(c *connection, value []byte) {
+	attempt := c.attempt
+	if c.closed || attempt == nil {
+		return
+	}
+	attempt.timeoutTimer.Stop()
+	attempt.valueComplete = true
+	attempt.Owner.CompleteValue(value)
+}
+
+// handleAnswerBegun records on the loop that the first bytes of an answer have come. From here on the attempt has the
+// deadline of an answer that has begun.
+func (p *Pool) handleAnswerBegun(c *connection) {
+	attempt := c.attempt
+	if c.closed || attempt == nil {
 		return
 	}
-	c.attempt.valueComplete = true
-	c.attempt.Owner.CompleteLongValue()
+	p.recordAnswerBegun(c)
+	attempt.timeoutTimer.Stop()
+	attempt.timeoutTimer = p.loop.At(max(attempt.Deadline, attempt.AnswerDeadline), func() { p.handleTimeout(c, attempt) })
+	attempt.Owner.BeginAnswer()
+}
+
+// recordAnswerBegun records the time of the first bytes of an answer.
+func (p *Pool) recordAnswerBegun(c *connection) {
+	c.endpoint.lastAnswerAt = p.loop.Now()
+	if c.attempt.answerBegunAt == 0 {
+		c.attempt.answerBegunAt = c.endpoint.lastAnswerAt
+	}
 }
 
 // copyLongValue copies a value of the given size to a sink, including its header and line end. The line end is checked
@@ -144,8 +170,7 @@
 	sink := attempt.Owner.StartLongValue(size)
 	if sink != nil {
 		attempt.timeoutTimer.Stop()
-		attempt.longValueAt = p.loop.Now()
-		c.endpoint.lastAnswerAt = attempt.longValueAt
+		p.recordAnswerBegun(c)
 	}
 	return sink
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -28,7 +28,7 @@
 	// ValueTimeout bounds the time for which the reader waits for the endpoint in the course of one long value,
 	// without the time that the sink takes. 0 means 60 s.
 	ValueTimeout time.Duration
-	// UsageTimeout bounds the time from the end of a long value to the end of its answer. 0 means 1 s.
+	// UsageTimeout bounds the time from the end of a value to the end of its answer. 0 means 1 s.
 	UsageTimeout time.Duration
 	// ValueMemory bounds the memory for long answers while they are received. nil means no limit.
 	ValueMemory *resourcelimit.Bytes
