Fix: a sound value whose pieces come seconds apart is cut off after a minute

Cause: ValueTimeout, made against values that go on a byte at a time for good, bounded the wait for the endpoint over the whole value. A bound on the whole is a deadline again, which a value that has begun does not have.

Change: the 60 s begin anew with each KiB that comes. A value of a byte every few seconds still ends after 60 s (TestLongValueThatNeverEnds, as before).

--- a/internal/upstream/answerbegun_test.go
+++ b/internal/upstream/answerbegun_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +65,28 @@
 		})
 	}
 }
+
+// TestSlowValueMakesProgress guards against a sound value that is cut off since it takes longer in all than the value
+// timeout, though each piece comes within it.
+func TestSlowValueMakesProgress(t *testing.T) {
+	const pieces = 20
+	ln := peer.Listen(t)
+	h := newHarness(t, ln.Addr().String())
+	h.pool.cfg.ValueTimeout = 200 * time.Millisecond
+	h.sink = &recordingSink{}
+	sendAttempt(t, h)
+	b := peer.Accept(t, ln)
+	go func() {
+		_, _ = b.Try()
+		text := tailHead() + soundTail
+		for i := range pieces {
+			_, _ = b.NC.Write([]byte(text[i*len(text)/pieces : (i+1)*len(text)/pieces]))
+			time.Sleep(h.pool.cfg.ValueTimeout / 5)
+		}
+	}()
+	peer.Pump(t, h.Loop, func() bool { return len(h.outcomes) > 0 })
+	wantOutcome(t, h, balancer.OK)
+	if got := len(h.sink.text()); got < tailSize || !strings.HasSuffix(h.sink.text(), "v\r\n") {
+		t.Errorf("%d bytes", got)
+	}
+}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -20,8 +20,10 @@
 const (
 	// defaultStallTimeout bounds the time between two pieces of a long value.
 	defaultStallTimeout = 5 * time.Second
-	// defaultValueTimeout bounds the time spent waiting for the endpoint in the course of a whole long value.
+	// defaultValueTimeout bounds the time spent waiting for the endpoint for each valueProgressBytes of a long value.
 	defaultValueTimeout = 60 * time.Second
+	// valueProgressBytes is how much of a long value must come within the value timeout.
+	valueProgressBytes = 1 << 10
 	// defaultUsageTimeout bounds the time from the end of a value to the end of its answer.
 	defaultUsageTimeout = time.Second
 )
@@ -67,8 +69,10 @@
 	answerBegun bool
 	// longValue reports that a long value is being read.
 	longValue bool
-	// valueTimeLeft is how much longer the reader waits for the rest of the long value.
+	// valueTimeLeft is how much longer the reader waits for the next valueProgressBytes of the long value.
 	valueTimeLeft time.Duration
+	// valueProgress is the number of bytes that have come since valueTimeLeft was last set.
+	valueProgress int
 	// usageDeadline is that of the rest of an answer after its value; zero: no such rest is awaited.
 	usageDeadline time.Time
 }
@@ -311,9 +315,19 @@
 	r.setDeadline(began.Add(min(cmp.Or(c.pool.cfg.StallTimeout, defaultStallTimeout), c.valueTimeLeft)))
 	n, err := r.netConn.Read(b)
 	c.valueTimeLeft -= time.Since(began)
+	c.valueProgress += n
+	if c.valueProgress >= valueProgressBytes {
+		c.resetValueTimeout()
+	}
 	return n, err
 }
 
+// resetValueTimeout begins to wait for the next valueProgressBytes of a long value.
+func (c *connection) resetValueTimeout() {
+	c.valueTimeLeft = cmp.Or(c.pool.cfg.ValueTimeout, defaultValueTimeout)
+	c.valueProgress = 0
+}
+
 // setDeadline sets the deadline of the next read. The zero time means no deadline.
 func (r answerReader) setDeadline(deadline time.Time) {
 	if deadline.IsZero() && !r.connection.deadlineSet {
--- a/internal/upstream/longvalue.go
+++ b/internal/upstream/longvalue.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"strconv"
@@ -36,7 +35,7 @@
 		return reply{}, err
 	}
 	c.longValue = true
-	c.valueTimeLeft = cmp.Or(c.pool.cfg.ValueTimeout, defaultValueTimeout)
+	c.resetValueTimeout()
 	sink := c.beginLongValue(size)
 	if sink == nil {
 		c.noConsumer.Store(true)
