Tests: requests whose connections come up late pass their ceiling

The record has no request lines; the operators' rule charges a try when its first attempt has come whole to a backend, the gateway charges it when it is dispatched.

Change: a real gateway on sockets with six endpoints whose accept queues are full for 0.8 s, so that connections come up when the SYN is sent again; and random fleets of 1 to 6 gateways in the simulator, whose attempts may now be written later than they are dispatched. Both charge a bucket at the arrival and hold it against the rule's slack.

--- a/internal/fake/peer/late.go
+++ b/internal/fake/peer/late.go
@@ -14,32 +14,43 @@
 // connection, or nil if none is established within the timeout.
 func ListenLate(t testing.TB) (addr string, accept func(timeout time.Duration) *Peer) {
 	t.Helper()
-	listener, err := listenWithoutQueue()
+	listener, admit := ListenFull(t)
+	return listener.Addr().String(), func(timeout time.Duration) *Peer {
+		if err := listener.SetDeadline(time.Now().Add(timeout)); err != nil {
+			t.Fatal(err)
+		}
+		admit()
+		conn, err := listener.Accept()
+		if err != nil {
+			return nil
+		}
+		return New(t, conn)
+	}
+}
+
+// ListenFull listens on loopback with a full accept queue, as ListenLate. After admit, which blocks until it has made
+// room, the listener accepts as usual.
+func ListenFull(t testing.TB) (listener *net.TCPListener, admit func()) {
+	t.Helper()
+	withoutQueue, err := listenWithoutQueue()
 	if err != nil {
 		t.Fatal(err)
 	}
-	filler, err := net.Dial("tcp", listener.Addr().String()) // fills the queue, which holds one connection
+	filler, err := net.Dial("tcp", withoutQueue.Addr().String()) // fills the queue, which holds one connection
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
 		_ = filler.Close()
-		_ = listener.Close()
+		_ = withoutQueue.Close()
 	})
-	return listener.Addr().String(), func(timeout time.Duration) *Peer {
-		if err := listener.(*net.TCPListener).SetDeadline(time.Now().Add(timeout)); err != nil {
-			t.Fatal(err)
-		}
-		accepted, err := listener.Accept()
+	return withoutQueue.(*net.TCPListener), func() {
+		accepted, err := withoutQueue.Accept()
 		if err != nil {
-			t.Fatal(err)
+			t.Error(err)
+			return
 		}
 		_ = accepted.Close() // the filler's connection
-		conn, err := listener.Accept()
-		if err != nil {
-			return nil
-		}
-		return New(t, conn)
 	}
 }
 
--- a/internal/simulator/attempt.go
+++ b/internal/simulator/attempt.go
@@ -25,22 +25,47 @@
 	}
 	number := request.attempts
 	request.attempts++
-	if number == 0 && g.Sent != nil {
-		g.Sent(request)
+	delay := time.Duration(0)
+	if g.WriteDelay != nil {
+		delay = g.WriteDelay()
 	}
+	g.write(request, number, delay)
 	endpoint := g.world.Endpoints[action.Endpoint]
 	if endpoint == nil {
-		g.dispatchWithFixedLatency(action, request, number)
+		g.dispatchWithFixedLatency(action, request, number, delay)
 		return
 	}
 	if g.Attempted != nil {
 		g.Attempted(request, endpoint.Name)
 	}
-	newAttempt(g, action, request, number, endpoint).start()
+	newAttempt(g, action, request, number, endpoint).start(delay)
+}
+
+// write writes an attempt after a delay, unless it has ended by then.
+func (g *Gateway) write(request *Request, number int, delay time.Duration) {
+	if delay <= 0 {
+		g.recordWrite(request)
+		return
+	}
+	g.world.After(delay, g.ifSameIncarnation(func() {
+		if _, isOpen := request.inFlight[number]; isOpen {
+			g.recordWrite(request)
+		}
+	}))
 }
 
-// dispatchWithFixedLatency simulates an attempt at a [FixedLatencyEndpoint].
-func (g *Gateway) dispatchWithFixedLatency(action balancer.Dispatch, request *Request, number int) {
+// recordWrite reports the first written attempt of a request.
+func (g *Gateway) recordWrite(request *Request) {
+	if !request.isSent && g.Sent != nil {
+		g.Sent(request)
+	}
+	request.isSent = true
+}
+
+// dispatchWithFixedLatency simulates an attempt at a [FixedLatencyEndpoint] that is written after a delay.
+func (g *Gateway) dispatchWithFixedLatency(
+	action balancer.Dispatch, request *Request, number int, delay time.Duration,
+) {
 	result := balancer.AttemptResult{
 		ID:            action.ID,
 		Attempt:       number,
@@ -49,11 +74,14 @@
 		Latency:       g.world.fixedLatency(action.Endpoint),
 		RequestClosed: true,
 	}
-	if result.Latency > action.Timeout {
+	if result.Latency > action.Timeout-delay {
 		result.Status = balancer.Timeout
 		result.Latency = action.Timeout
 		result.RequestClosed = false
 	}
+	if result.Status == balancer.OK {
+		result.Latency += delay
+	}
 	end := g.world.schedule(g.world.Now+result.Latency, g.ifSameIncarnation(func() {
 		g.endAttempt(request, result)
 	}))
@@ -136,8 +164,8 @@
 	}
 }
 
-// start sends the attempt and schedules its timeout.
-func (a *attempt) start() {
+// start sends the attempt, which is written after a delay, and schedules its timeout.
+func (a *attempt) start(delay time.Duration) {
 	g := a.gateway
 	a.timeoutEvent = g.world.schedule(a.sentAt+a.timeout, g.ifSameIncarnation(func() {
 		a.endpoint.Cancel(a.job)
@@ -147,7 +175,7 @@
 		end:     a.timeoutEvent,
 		abandon: a.abandon,
 	}
-	g.world.After(networkLatency, g.ifSameIncarnation(a.arrive))
+	g.world.After(delay+networkLatency, g.ifSameIncarnation(a.arrive))
 }
 
 // abandon ends the attempt without a result, and cancels its job.
--- a/internal/simulator/gateway.go
+++ b/internal/simulator/gateway.go
@@ -17,8 +17,10 @@
 	IsAlive bool
 	// ClockSkew is how far its clock is ahead of the world's.
 	ClockSkew time.Duration
-	// Sent, if not nil, is called when the first attempt of a request is dispatched or the request is admitted.
+	// Sent, if not nil, is called when the first attempt of a request is written or the request is admitted.
 	Sent func(*Request)
+	// WriteDelay, if not nil, returns how long an attempt waits for its connection before it is written.
+	WriteDelay func() time.Duration
 	// Done, if not nil, is called with the final answer of a request.
 	Done func(*Request, Outcome)
 	// Attempted, if not nil, is called when an attempt is dispatched to an [Endpoint].
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -52,6 +52,8 @@
 	RetryAfter time.Duration
 
 	attempts int
+	// isSent reports whether an attempt was written.
+	isSent   bool
 	inFlight map[int]inFlightAttempt
 	answered bool
 }
