Fix: requests whose connections come up late pass their customer's ceiling

Cause: charged at the decision, not at the effect. dispatch (dispatch.go) took a request's units; its command went out when the connection was up, after a retry, or when the endpoint read, up to a second later. Units drawn over a span d and written together exceed the bucket by rate x d, as the share refills while the real bucket stands full.

Change: the connection pool tells when a command is not written at once and when its last byte is (WriteDelayed, Written). What is never written gives its units back; what may have been written is charged. Rejected: to draw by an estimate of the lag (it is not known), and to withdraw commands that are not written within the slack (sound requests to slow endpoints would end). Attempts that are written at once, nearly all, cost no event. The trace has a line "written" with the lag.

Not changed: units that are leased from the counter for a window (node.ceilings = "demand"), used in turns, or paid by the quota's bucket; their bound is in docs/design/ceilings.md.

--- a/internal/balancer/attemptresult.go
+++ b/internal/balancer/attemptresult.go
@@ -24,6 +24,9 @@
 	if ev.Status.mayHaveRun() {
 		req.attempts.recordRun(att)
 	}
+	if att.unwritten && ev.Status != NotSent && ev.Status != ConnectFailed {
+		b.chargeWrite(att) // the last byte may have been written since
+	}
 	b.recordResult(att, ev)
 	if ev.Status == OK && b.settings.EstimatedUnits && ev.Units > 0 && req.quota.covered {
 		req.customer.quota.spendTokens(ev.Units - req.units)
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -143,6 +143,10 @@
 		b.handleFirstByte(ev)
 	case ResponseBegun:
 		b.handleResponseBegun(ev)
+	case WriteDelayed:
+		b.handleWriteDelayed(ev)
+	case Written:
+		b.handleWritten(ev)
 	case CounterResult:
 		b.handleCounterResult(ev)
 	case LateCounterResult:
--- a/internal/balancer/customer.go
+++ b/internal/balancer/customer.go
@@ -142,7 +142,7 @@
 
 // isInUse reports whether a customer has requests here or is waiting for tokens from the counter.
 func (b *Balancer) isInUse(cust *customer) bool {
-	return cust.quota.callPending || cust.inFlight > 0 || len(cust.waiting.requests) > 0
+	return cust.quota.callPending || cust.inFlight > 0 || cust.ceiling.reserved > 0 || len(cust.waiting.requests) > 0
 }
 
 // customerRetention returns how long an idle customer is kept. A customer that returns after removal starts with full
--- a/internal/balancer/dispatch.go
+++ b/internal/balancer/dispatch.go
@@ -36,7 +36,7 @@
 
 // dispatch sends an attempt of a request to an endpoint; no other function emits Dispatch. It therefore checks once
 // more the rules that must hold whatever was decided earlier: the endpoint is in service, the request may have this
-// attempt, and the first attempt draws its units from the ceiling.
+// attempt, and the first attempt that is written draws its units from the ceiling.
 func (b *Balancer) dispatch(req *request, ep *endpoint, kind attemptKind) {
 	if !ep.inService {
 		b.assign(req)
@@ -47,10 +47,11 @@
 		return
 	}
 	plan := &b.settings.Plans[req.plan]
-	if len(req.attempts.all) == 0 && !b.drawCeiling(req, plan) {
+	if !req.ceiling.drawn && !b.drawCeiling(req, plan) {
 		b.reject(req, b.refillTime(req.customer, plan, req.units), CeilingExceeded)
 		return
 	}
+	req.ceiling.drawn = true
 	b.releaseCeiling(req, true)
 	timeout := b.attemptTimeout(req, kind)
 	b.addAttempt(req, ep, kind)
--- a/internal/balancer/event.go
+++ b/internal/balancer/event.go
@@ -83,6 +83,20 @@
 	Attempt int
 }
 
+// WriteDelayed reports that the command of an attempt was not written when it was dispatched: it waits for its
+// connection, or its endpoint does not read, or it will never be written. Attempts of which this is not reported were
+// written when they were dispatched.
+type WriteDelayed struct {
+	ID      uint64
+	Attempt int
+}
+
+// Written reports that the last byte of a command was written after a WriteDelayed.
+type Written struct {
+	ID      uint64
+	Attempt int
+}
+
 // ResponseBegun reports that the first bytes of the response to an attempt have arrived. The latency objective no
 // longer ends the request, only its client's deadline does.
 type ResponseBegun struct {
@@ -276,6 +290,8 @@
 func (AttemptResult) event()     {}
 func (FirstByte) event()         {}
 func (ResponseBegun) event()     {}
+func (WriteDelayed) event()      {}
+func (Written) event()           {}
 func (CounterResult) event()     {}
 func (LateCounterResult) event() {}
 func (TimerFired) event()        {}
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -70,10 +70,12 @@
 	counterCalledTwice bool
 }
 
-// ceilingReservation is the part of its customer's ceiling that a queued request has reserved.
+// ceilingReservation is the part of its customer's ceiling that a request has reserved or drawn.
 type ceilingReservation struct {
 	// reserved is set while units are reserved.
 	reserved bool
+	// drawn is set while the units are taken from the ceiling.
+	drawn bool
 	// source is where the units were taken from.
 	source ceilingSource
 	// lease is the ceiling lease that the units were taken from and leaseWindow the window for which they were leased.
@@ -151,6 +153,8 @@
 	place place
 	// sentAt is when the attempt was dispatched.
 	sentAt time.Duration
+	// unwritten is set while the command is known not to be written.
+	unwritten bool
 	// kind distinguishes probe requests from regular attempts.
 	kind attemptKind
 	// open is set until the attempt's result arrives.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -19,6 +19,8 @@
 	streaming bool
 	// sent reports that the attempt was passed to Upstream.
 	sent bool
+	// writeDelayed reports that the Balancer knows that the command was not written when it was dispatched.
+	writeDelayed bool
 }
 
 // StartLongValue implements upstream.Owner. From here on the request has no deadline and gets no further attempts.
@@ -40,6 +42,25 @@
 	return streamer.Stream(size)
 }
 
+// DelayWrite implements upstream.Owner. The limits on what reaches endpoints are charged when the command is written.
+func (a *attempt) DelayWrite() {
+	if a.writeDelayed {
+		return
+	}
+	a.writeDelayed = true
+	a.proxy.Enqueue(balancer.WriteDelayed{ID: a.request.id, Attempt: a.number})
+}
+
+// CompleteWrite implements upstream.Owner.
+func (a *attempt) CompleteWrite() {
+	if !a.writeDelayed {
+		return
+	}
+	a.proxy.Trace.Line("written", "id=%d no=%d to=%s lag=%.1f",
+		a.request.id, a.number, a.Endpoint, trace.MS(a.proxy.Now()-a.SentAt))
+	a.proxy.Enqueue(balancer.Written{ID: a.request.id, Attempt: a.number})
+}
+
 // BeginAnswer implements upstream.Owner. From here on only the deadline of the client ends the attempt.
 func (a *attempt) BeginAnswer() {
 	a.proxy.Enqueue(balancer.ResponseBegun{ID: a.request.id, Attempt: a.number})
@@ -71,6 +92,9 @@
 	case a.streaming:
 		a.proxy.answer(a.request, Answer{Outcome: Failed})
 	}
+	if result.Status == balancer.NotSent || result.Status == balancer.ConnectFailed {
+		a.DelayWrite() // for good
+	}
 	a.request.pendingAttempts--
 	if a.sent && mayHaveRun(result.Status) {
 		a.request.mayHaveRun = true
@@ -127,6 +151,7 @@
 	}
 	needsKey := p.KeyReserver != nil && settings.Classes[request.Class].KeyReserved
 	if needsKey && request.reservation.state != reservationGranted {
+		a.DelayWrite()
 		p.reserveKey(a)
 		return
 	}
--- a/internal/simulator/attempt.go
+++ b/internal/simulator/attempt.go
@@ -29,7 +29,7 @@
 	if g.WriteDelay != nil {
 		delay = g.WriteDelay()
 	}
-	g.write(request, number, delay)
+	g.write(action.ID, request, number, delay)
 	endpoint := g.world.Endpoints[action.Endpoint]
 	if endpoint == nil {
 		g.dispatchWithFixedLatency(action, request, number, delay)
@@ -42,14 +42,16 @@
 }
 
 // write writes an attempt after a delay, unless it has ended by then.
-func (g *Gateway) write(request *Request, number int, delay time.Duration) {
+func (g *Gateway) write(id uint64, request *Request, number int, delay time.Duration) {
 	if delay <= 0 {
 		g.recordWrite(request)
 		return
 	}
+	g.handle(balancer.WriteDelayed{ID: id, Attempt: number})
 	g.world.After(delay, g.ifSameIncarnation(func() {
 		if _, isOpen := request.inFlight[number]; isOpen {
 			g.recordWrite(request)
+			g.handle(balancer.Written{ID: id, Attempt: number})
 		}
 	}))
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -40,6 +40,11 @@
 	// Command returns the complete command for the endpoint, which includes how long this side will wait for the
 	// answer. nil means that no answer is needed any more and the attempt has been cancelled.
 	Command(wait time.Duration) []byte
+	// DelayWrite reports that the command is not written yet: the attempt waits for its connection, or the endpoint does
+	// not read. It may be called more than once.
+	DelayWrite()
+	// CompleteWrite reports that the last byte of the command has been written.
+	CompleteWrite()
 	// StartLongValue announces a long value of size bytes, which is forwarded in pieces. It returns nil if the value is
 	// not wanted.
 	StartLongValue(size int) Sink
@@ -108,9 +113,11 @@
 	if a.WriteBy > 0 {
 		a.writeTimer = p.loop.At(a.WriteBy, func() { p.handleWriteDeadline(c) })
 	}
-	if c.netConn != nil {
-		c.writeCommand()
+	if c.netConn == nil {
+		a.Owner.DelayWrite()
+		return
 	}
+	c.writeCommand()
 }
 
 // handleTimeout ends an attempt that was not answered in time. If its connection is still being dialled, the command
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -348,18 +348,32 @@
 	}
 	c.commandsSent.Add(1)
 	c.writeState.Store(writeStarted)
+	attempt := c.attempt
 	n, err := socket.WriteNow(c.netConn, command)
 	if n == len(command) || err != nil {
 		c.handleWritten(isAttempt, err)
+		c.completeWrite(attempt)
 		return
 	}
+	if attempt != nil {
+		attempt.Owner.DelayWrite()
+	}
 	netConn := c.netConn
 	go func() {
 		_, err := netConn.Write(command[n:])
 		c.handleWritten(isAttempt, err)
+		c.pool.loop.Post(func() { c.completeWrite(attempt) })
 	}()
 }
 
+// completeWrite reports the end of a write to the attempt that the connection carried when the write began, if all
+// bytes were written and it still carries that.
+func (c *connection) completeWrite(attempt *Attempt) {
+	if attempt != nil && c.attempt == attempt && c.writeState.Load() == writeComplete {
+		attempt.Owner.CompleteWrite()
+	}
+}
+
 // command returns the bytes to write, or nil if there are none.
 func (c *connection) command() (command []byte, isAttempt bool) {
 	switch {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -48,6 +48,8 @@
 	healthChecks []balancer.HealthCheckResult
 	sink         *recordingSink // receives long values; nil: they are not wanted
 	attempt      *Attempt       // the last one sent
+	delayed      int            // how often a command was reported as not written yet
+	written      int            // how often a command was reported as written
 	begun        int            // how often an answer was reported as begun
 	completed    int            // how often a value was reported complete before its answer
 	quotaUsed    int            // of the last result
@@ -64,6 +66,8 @@
 	o.h.sink.size = size
 	return o.h.sink
 }
+func (o testOwner) DelayWrite()          { o.h.delayed++ }
+func (o testOwner) CompleteWrite()       { o.h.written++ }
 func (o testOwner) BeginAnswer()         { o.h.begun++ }
 func (o testOwner) CompleteValue([]byte) { o.h.completed++ }
 func (o testOwner) HandleResult(r Result) {
