Fix: attempts that waited for their connections push a warming endpoint over

The slow-start budget counted an attempt at its dispatch. Those that wait for a connection, as all do at an endpoint that has just started, come together with later ones, when they have left the window of the budget.

Change: an attempt that is written later counts from then on (write.go).

Measured: TestSlowStartIsChargedWhenTheCommandIsWritten red before. What it gains at real endpoints was not measured.

--- a/internal/balancer/attemptresult.go
+++ b/internal/balancer/attemptresult.go
@@ -19,7 +19,7 @@
 	ep := att.endpoint
 	ep.removeAttempt(att)
 	if ev.Status == NotSent {
-		ep.slowStart.budget.CancelDispatch(att.sentAt, req.cost)
+		ep.slowStart.budget.CancelDispatch(att.chargedAt, req.cost)
 	}
 	if ev.Status.mayHaveRun() {
 		req.attempts.recordRun(att)
--- a/internal/balancer/dispatch.go
+++ b/internal/balancer/dispatch.go
@@ -80,7 +80,7 @@
 
 // addAttempt records an attempt with its request and its endpoint.
 func (b *Balancer) addAttempt(req *request, ep *endpoint, kind attemptKind) {
-	att := &attempt{request: req, endpoint: ep, place: ep.place, sentAt: b.now, kind: kind}
+	att := &attempt{request: req, endpoint: ep, place: ep.place, sentAt: b.now, chargedAt: b.now, kind: kind}
 	req.attempts.add(att)
 	if kind == probeAttempt {
 		ep.outlier.beginProbe()
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -153,6 +153,8 @@
 	place place
 	// sentAt is when the attempt was dispatched.
 	sentAt time.Duration
+	// chargedAt is the time for which the attempt counts in the slow-start budget of its endpoint.
+	chargedAt time.Duration
 	// unwritten is set while the command is known not to be written.
 	unwritten bool
 	// kind distinguishes probe requests from regular attempts.
--- a/internal/balancer/write.go
+++ b/internal/balancer/write.go
@@ -1,8 +1,8 @@
 package balancer
 
-// A limit is charged where its effect is: the units of a request are taken from its ceiling when the command is written.
-// For most attempts that is when they are dispatched. The others wait with their units reserved, so that what arrives
-// late has not been refilled meanwhile.
+// A limit is charged where its effect is: the units of a request are taken from its ceiling, and its attempt from the
+// slow-start budget of its endpoint, when the command is written. For most attempts that is when they are dispatched.
+// The others wait with their units reserved, so that what arrives late has not been refilled meanwhile.
 
 // handleWriteDelayed puts the ceiling units of an attempt that has not been written back into reserve.
 func (b *Balancer) handleWriteDelayed(ev WriteDelayed) {
@@ -31,9 +31,13 @@
 	}
 }
 
-// chargeWrite charges the ceiling for an attempt whose command is written now.
+// chargeWrite charges the ceiling and the slow-start budget for an attempt whose command is written now.
 func (b *Balancer) chargeWrite(att *attempt) {
 	att.unwritten = false
+	budget := &att.endpoint.slowStart.budget
+	budget.CancelDispatch(att.chargedAt, att.request.cost)
+	att.chargedAt = b.now
+	att.endpoint.slowStart.recordDispatch(b.now, att.request.cost)
 	if !att.request.ceiling.drawn {
 		b.chargeDeferred(att.request)
 	}
--- a/internal/balancer/write_test.go
+++ b/internal/balancer/write_test.go
@@ -77,6 +77,26 @@
 	}
 }
 
+// TestSlowStartIsChargedWhenTheCommandIsWritten guards against an endpoint that is pushed over while it warms up by
+// attempts that waited for their connections: they count in the window in which they come.
+func TestSlowStartIsChargedWhenTheCommandIsWritten(t *testing.T) {
+	b := newDeferredBalancer(t, 1)
+	ep := b.endpoints.byName["b0"]
+	now := 3 * time.Second
+	ep.slowStart.begin(now)
+	dispatch := singleDispatch(t, b.Step(now, []Event{testRequest(1, 0, 2)}))
+	b.Step(now, []Event{WriteDelayed{ID: 1}})
+	now += 300 * ms
+	b.Step(now, []Event{Written{ID: 1}})
+	if all := ep.slowStart.budget.Dispatches(); len(all) != 1 || all[0].At != now {
+		t.Errorf("the budget holds %+v, want one attempt at %v", all, now)
+	}
+	b.Step(now, []Event{resultOf(dispatch, Timeout, 300*ms)})
+	if all := ep.slowStart.budget.Dispatches(); len(all) < 1 || all[0].At != now {
+		t.Errorf("after the result the budget holds %+v", all)
+	}
+}
+
 // TestCeilingHoldsForRandomWrites verifies that a bucket with the ceiling's terms that is charged at each write never
 // falls below 0, however long attempts wait and however they end, and that nothing stays reserved.
 func TestCeilingHoldsForRandomWrites(t *testing.T) {
