--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -81,8 +81,8 @@
 	}
 	if p.Trace.Enabled() {
 		p.Trace.Line("end",
-			"id=%d class=%d plan=%d customer=%s retry=%t verdict=%d why=%s took=%.1f pause=%.0f tries=%d",
-			request.id, request.Class, request.Plan, request.Customer, request.ClientRetry, answer.Outcome,
+			"id=%d request=%s class=%d plan=%d customer=%s retry=%t verdict=%d why=%s took=%.1f pause=%.0f tries=%d",
+			request.id, request.ID, request.Class, request.Plan, request.Customer, request.ClientRetry, answer.Outcome,
 			answer.reason,
 			trace.MS(took), trace.MS(answer.RetryAfter), len(request.attempts))
 	}
