Tests: customers of the soak come in through a set of gateways

Change: each customer has a first gateway and a spread, and GAPGAP_SOAK_GATEWAYS sets the number of gateways.

--- a/cmd/gapgap/soak_test.go
+++ b/cmd/gapgap/soak_test.go
@@ -20,7 +20,7 @@
 
 // A soak plays real processes against endpoints that pause, drain, join and come up late, and clients that wait, leave
 // and keep their connections through signals. It checks the operators' rules where their effects are. GAPGAP_SOAK_SEED
-// is the first seed, GAPGAP_SOAK_SEEDS the number of seeds.
+// is the first seed, GAPGAP_SOAK_SEEDS the number of seeds, GAPGAP_SOAK_GATEWAYS the number of gateways.
 
 const (
 	soakDuration = 12 * time.Second
@@ -47,13 +47,19 @@
 	lateWorth          float64
 }
 
+// soakCustomer is a customer of a soak, whose requests come in through some of the gateways.
+type soakCustomer struct {
+	id, plan      string
+	first, spread int
+}
+
 // soakWorld is one run of a soak.
 type soakWorld struct {
 	t         *testing.T
 	seed      uint64
 	rng       *rand.Rand
 	classes   []soakClass
-	customers []string
+	customers []soakCustomer
 	nodes     []*node
 	agent     *catalog.Agent
 	hasCrowd  bool
@@ -108,14 +114,6 @@
 	})
 }
 
-// planOf returns the plan of a customer.
-func (w *soakWorld) planOf(customer string) string {
-	if strings.HasSuffix(customer, "0") {
-		return "capped"
-	}
-	return "open"
-}
-
 // recordArrival records a command that has come whole to an endpoint, and checks what holds for it.
 func (w *soakWorld) recordArrival(e *soakEndpoint, command []string, firstByteAt time.Time) *soakRequest {
 	now := time.Now()
@@ -128,7 +126,7 @@
 	request.mu.Unlock()
 	if arrivals == 1 {
 		w.mu.Lock()
-		w.charged[request.customer] = append(w.charged[request.customer], now)
+		w.charged[request.customer.id] = append(w.charged[request.customer.id], now)
 		w.mu.Unlock()
 	}
 	if arrivals > 1 && request.class.effect == "unsafe" {
@@ -165,14 +163,13 @@
 // newSoakWorld draws a world and starts its gateways.
 func newSoakWorld(t *testing.T, seed uint64) *soakWorld {
 	w := &soakWorld{
-		t:         t,
-		seed:      seed,
-		rng:       rand.New(rand.NewPCG(seed, 65)),
-		customers: []string{"0000000000000010", "0000000000000021", "0000000000000032"},
-		requests:  map[string]*soakRequest{},
-		outcomes:  map[string]int{},
-		charged:   map[string][]time.Time{},
-		hasCrowd:  seed%4 == 3,
+		t:        t,
+		seed:     seed,
+		rng:      rand.New(rand.NewPCG(seed, 65)),
+		requests: map[string]*soakRequest{},
+		outcomes: map[string]int{},
+		charged:  map[string][]time.Time{},
+		hasCrowd: seed%4 == 3,
 	}
 	for i, effect := range []string{"safe", "keyed", "unsafe"} {
 		timeout := time.Duration(800+w.rng.IntN(1700)) * time.Millisecond
@@ -195,7 +192,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(counter.Close)
-	gateways := 2 + w.rng.IntN(3)
+	gateways := int(soakNumber("GAPGAP_SOAK_GATEWAYS", 2+w.rng.Uint64N(3)))
+	w.customers = []soakCustomer{
+		{id: "0000000000000010", plan: "capped", first: w.rng.IntN(gateways), spread: 2 + w.rng.IntN(gateways-1)},
+		{id: "0000000000000021", plan: "open", first: 0, spread: gateways},
+		{id: "0000000000000032", plan: "open", first: w.rng.IntN(gateways), spread: 1 + w.rng.IntN(gateways)},
+	}
 	for i := range gateways {
 		n := newNode(t, 0, flagserver.Config{})
 		n.editConfig(func(cfg map[string]any) { w.configure(cfg, i, gateways, counter.Addr()) })
@@ -315,10 +317,11 @@
 // checkCeilings charges a bucket with the units of each capped customer where they came to endpoints.
 func (w *soakWorld) checkCeilings() {
 	allowed := max(1, 0.1*soakCeilingBurst) + 0.15*soakCeilingRate
-	for customer, times := range w.charged {
-		if w.planOf(customer) != "capped" {
+	for _, customer := range w.customers {
+		if customer.plan != "capped" {
 			continue
 		}
+		times := w.charged[customer.id]
 		level := soakCeilingBurst
 		lowest := level
 		for i, at := range times {
@@ -328,10 +331,11 @@
 			level--
 			lowest = min(lowest, level)
 		}
-		w.t.Logf("seed %d: customer %s: %d units, the ceiling's bucket falls to %.1f", w.seed, customer, len(times), lowest)
+		w.t.Logf("seed %d: %d units of the capped customer at %d gateways, its bucket falls to %.1f",
+			w.seed, len(times), customer.spread, lowest)
 		if lowest < -allowed {
 			w.failures = append(w.failures, fmt.Sprintf("customer %s: the ceiling's bucket falls to %.1f, allowed is %.1f",
-				customer, lowest, -allowed))
+				customer.id, lowest, -allowed))
 		}
 	}
 }
@@ -364,10 +368,12 @@
 	}
 	for number := range soakClients {
 		c := &soakClient{world: w, number: number, rng: rand.New(rand.NewPCG(w.seed, uint64(100+number)))}
+		c.customer = w.customers[number%len(w.customers)]
 		clients.Go(func() { c.run(until) })
 	}
 	for number := range soakFloods { // of the capped customer, in turns
 		c := &soakClient{world: w, number: 1000 + number, rng: rand.New(rand.NewPCG(w.seed, uint64(1000+number)))}
+		c.customer = w.customers[0]
 		clients.Go(func() { c.flood(until) })
 	}
 	w.sendSignals(processes, until)
--- a/cmd/gapgap/soakclient_test.go
+++ b/cmd/gapgap/soakclient_test.go
@@ -22,7 +22,7 @@
 // soakRequest is a request of a soak and what became of it.
 type soakRequest struct {
 	id       string
-	customer string
+	customer soakCustomer
 	class    soakClass
 	sentAt   time.Time
 	timeout  time.Duration
@@ -48,12 +48,14 @@
 
 // soakClient sends requests one after another, on a connection that it keeps.
 type soakClient struct {
-	world   *soakWorld
-	rng     *rand.Rand
-	number  int
-	gateway int
-	conn    net.Conn
-	in      *bufio.Reader
+	world  *soakWorld
+	rng    *rand.Rand
+	number int
+	// customer is the customer whose requests the client sends.
+	customer soakCustomer
+	gateway  int
+	conn     net.Conn
+	in       *bufio.Reader
 	// used reports that the connection has carried a request before.
 	used bool
 }
@@ -64,7 +66,7 @@
 		class := c.world.classes[c.rng.IntN(len(c.world.classes))]
 		request := &soakRequest{
 			id:       fmt.Sprintf("%d.%d", c.number, n),
-			customer: c.world.customers[c.rng.IntN(len(c.world.customers))],
+			customer: c.customer,
 			class:    class,
 			timeout:  time.Duration((0.3 + 0.7*c.rng.Float64()) * float64(class.timeout)),
 		}
@@ -87,7 +89,7 @@
 		}
 		request := &soakRequest{
 			id:       fmt.Sprintf("%s%d.%d", floodPrefix, c.number, n),
-			customer: c.world.customers[0],
+			customer: c.customer,
 			class:    c.world.classes[0],
 			timeout:  c.world.classes[0].timeout,
 		}
@@ -108,8 +110,8 @@
 
 // connect dials a gateway that accepts connections.
 func (c *soakClient) connect() error {
-	for range 2 * len(c.world.nodes) {
-		c.gateway = c.rng.IntN(len(c.world.nodes))
+	for range 4 * c.customer.spread {
+		c.gateway = (c.customer.first + c.rng.IntN(c.customer.spread)) % len(c.world.nodes)
 		conn, err := net.Dial("tcp", c.world.nodes[c.gateway].listen)
 		if err == nil {
 			c.conn, c.in, c.used = conn, bufio.NewReader(conn), false
@@ -122,9 +124,9 @@
 // ask sends a request and checks its answer. If its connection ends before anything of it was read, it is sent once
 // more on a new one, as the operators' clients do.
 func (c *soakClient) ask(request *soakRequest) {
-	command := []string{"Q.ASK", request.customer, request.id}
-	list := fmt.Sprintf("c=%s,t=%s,d=%d,units=1,spread=%d,first=0", request.class.name, c.world.planOf(request.customer),
-		request.timeout.Milliseconds(), len(c.world.nodes))
+	command := []string{"Q.ASK", c.customer.id, request.id}
+	list := fmt.Sprintf("c=%s,t=%s,d=%d,units=1,spread=%d,first=%d", request.class.name, c.customer.plan,
+		request.timeout.Milliseconds(), c.customer.spread, c.customer.first)
 	if request.class.effect != "safe" {
 		command[0] = "Q.DO"
 		list = strings.Replace(list, ",units", ",k="+fmt.Sprintf("%016x", c.rng.Uint64())+",units", 1)
