--- a/cmd/gapgap/soak_test.go
+++ b/cmd/gapgap/soak_test.go
@@ -36,6 +36,8 @@
 	goneGrace = 100 * time.Millisecond
 	// timeoutSlack is by how much the time told to an endpoint may exceed what its client has left.
 	timeoutSlack = 150 * time.Millisecond
+	// connectAfterTerm is how long after SIGTERM clients make new connections, by the operators' page.
+	connectAfterTerm = 400 * time.Millisecond
 	// killAfter is added to the longest timeout; that long after SIGTERM a process may be killed.
 	killAfter = 700 * time.Millisecond
 )
@@ -70,6 +72,8 @@
 	failures []string
 	// charged are the times at which each customer's units came to an endpoint.
 	charged map[string][]time.Time
+	// endingAt are the times of SIGTERM of the gateways that end, by index.
+	endingAt map[int]time.Time
 	// killedAt are the times at which processes were killed.
 	killedAt []time.Time
 }
@@ -169,6 +173,7 @@
 		requests: map[string]*soakRequest{},
 		outcomes: map[string]int{},
 		charged:  map[string][]time.Time{},
+		endingAt: map[int]time.Time{},
 		hasCrowd: seed%4 == 3,
 	}
 	for i, effect := range []string{"safe", "keyed", "unsafe"} {
@@ -291,13 +296,34 @@
 		if rng.IntN(2) == 0 {
 			continue
 		}
+		w.setEnding(i, true)
 		processes[i] = w.restart(processes[i], w.nodes[i])
+		w.setEnding(i, false)
 	}
-	for _, p := range processes {
+	for i, p := range processes {
+		w.setEnding(i, true)
 		p.cmd.Process.Signal(syscall.SIGTERM)
 	}
 }
 
+// setEnding records that a gateway is told to end, or has started again.
+func (w *soakWorld) setEnding(gateway int, ends bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.endingAt, gateway)
+	if ends {
+		w.endingAt[gateway] = time.Now()
+	}
+}
+
+// acceptsClients reports whether clients make new connections to a gateway.
+func (w *soakWorld) acceptsClients(gateway int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	endingAt, ends := w.endingAt[gateway]
+	return !ends || time.Since(endingAt) < connectAfterTerm
+}
+
 // restart ends a process as a planned restart does: SIGTERM, and SIGKILL at the earliest time that the page allows.
 func (w *soakWorld) restart(p *process, n *node) *process {
 	p.cmd.Process.Signal(syscall.SIGTERM)
--- a/cmd/gapgap/soakclient_test.go
+++ b/cmd/gapgap/soakclient_test.go
@@ -112,6 +112,9 @@
 func (c *soakClient) connect() error {
 	for range 4 * c.customer.spread {
 		c.gateway = (c.customer.first + c.rng.IntN(c.customer.spread)) % len(c.world.nodes)
+		if !c.world.acceptsClients(c.gateway) {
+			continue
+		}
 		conn, err := net.Dial("tcp", c.world.nodes[c.gateway].listen)
 		if err == nil {
 			c.conn, c.in, c.used = conn, bufio.NewReader(conn), false
