Fix: leased tokens kept through a rest pass a ceiling shared by many gateways

Cause: where an even share of a ceiling is a request or two, the quota's bucket on the counter pays for requests inside the quota. A gateway kept what it had leased or reserved for 12 s (largeFleetTokenTTL): at the end of a flood up to 7 units at each gateway. The ceiling's bucket fills in the rest, and the next flood finds the kept tokens at all gateways at once, on top.

Change: such tokens live for 300 ms, as those that exceed a leased ceiling's share always have (overShareTokenTTL); they go back to the bucket with the next call.

--- a/internal/balancer/largefleet.go
+++ b/internal/balancer/largefleet.go
@@ -12,8 +12,9 @@
 	largeFleetGateways = 12
 	// maxCounterWaitFraction is the fraction of its time limit for which a request may wait for the counter.
 	maxCounterWaitFraction = 0.2
-	// largeFleetTokenTTL is the time after which unspent leased tokens are returned.
-	largeFleetTokenTTL = 12 * time.Second
+	// evenShareTokenTTL is the time after which unspent leased tokens are returned, if each request is also paid from an
+	// even share of the ceiling.
+	evenShareTokenTTL = 12 * time.Second
 	// largeFleetLeaseParts is the number of maximum-size leases that use up a bucket.
 	largeFleetLeaseParts = 4.0
 	// maxReservationHorizon is how far ahead units may be reserved.
@@ -110,13 +111,23 @@
 	quota := &cust.quota
 	quota.beginDebtWindow(counterWindowAt(b.now))
 	age := b.now - max(quota.leasedAt, quota.tokensValidFrom)
-	if quota.hasExpiredTokens(age, largeFleetTokenTTL) {
+	if quota.hasExpiredTokens(age, b.largeFleetTokenTTL(cust, plan)) {
 		quota.returnTokens()
 	}
 	filled := plan.Rate / cust.gateways * b.refillSeconds(quota.fallbackFilledAt, b.now)
 	quota.fillFallback(b.now, filled, max(minDepth, plan.Burst/cust.gateways))
 }
 
+// largeFleetTokenTTL returns the time after which unspent leased tokens are returned. Where they pay for a ceiling they
+// expire soon: the ceiling's bucket refills in the meantime, and gateways that keep tokens through a rest would all
+// spend them at the start of the next flood.
+func (b *Balancer) largeFleetTokenTTL(cust *customer, plan *Plan) time.Duration {
+	if b.hasSparseShares(cust, plan) {
+		return overShareTokenTTL
+	}
+	return evenShareTokenTTL
+}
+
 // creditProbability returns the probability that a request for which no call can be made is sent without one. This
 // happens once per customer, and again when its share has refilled. A share of less than one unit is treated as the
 // probability of having a whole unit. The longer a gateway has been running, the more likely it is that a customer that
