Fix: a long value is thrown away if its command's writer is not done yet

The last part of a large command is written by a goroutine. An endpoint that answers at once with a long value may be faster than the goroutine's report: handleLongValue takes the command for not written and refuses the value, the connection ends, and the client of an unsafe request gets -ERR. A race of microseconds on a busy machine; not seen at callers.

Change: the reader waits for the writer's end before it asks for the sink. An endpoint that answers and never reads is bounded by the attempt's deadline, as before.

--- a/internal/upstream/answerbegun_test.go
+++ b/internal/upstream/answerbegun_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -90,3 +91,25 @@
 		t.Errorf("%d bytes", got)
 	}
 }
+
+// TestLongValueAwaitsTheWriter guards against a long value that is thrown away since the goroutine that writes the last
+// part of a large command has not yet said that it is done.
+func TestLongValueAwaitsTheWriter(t *testing.T) {
+	ln := peer.ListenWithReadBuffer(t, 4<<10)
+	h := newHarness(t, ln.Addr().String())
+	h.sink = &recordingSink{}
+	h.command = make([]byte, 16<<20)
+	sendAttempt(t, h)
+	b := peer.Accept(t, ln)
+	peer.Pump(t, h.Loop, func() bool { return h.delayed > 1 }) // for the connection, and for the endpoint to read
+	go func() {
+		_, _ = b.NC.Write([]byte(tailHead() + soundTail))
+		time.Sleep(100 * time.Millisecond) // the reader has seen it
+		_, _ = io.CopyN(io.Discard, b.In, int64(len(h.command)))
+	}()
+	peer.Pump(t, h.Loop, func() bool { return len(h.outcomes) > 0 })
+	wantOutcome(t, h, balancer.OK)
+	if got := len(h.sink.text()); got < tailSize {
+		t.Errorf("%d bytes of the value", got)
+	}
+}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -47,6 +47,8 @@
 	healthCheck *healthCheck
 	closed      bool
 	idleAt      time.Duration
+	// writing is closed when the goroutine that writes the rest of the last command ends; nil if there was none.
+	writing chan struct{}
 
 	// writeState is the progress of writing the last command.
 	writeState atomic.Int32
@@ -359,9 +361,12 @@
 		attempt.Owner.DelayWrite()
 	}
 	netConn := c.netConn
+	ended := make(chan struct{})
+	c.writing = ended
 	go func() {
 		_, err := netConn.Write(command[n:])
 		c.handleWritten(isAttempt, err)
+		close(ended)
 		c.pool.loop.Post(func() { c.completeWrite(attempt) })
 	}()
 }
--- a/internal/upstream/longvalue.go
+++ b/internal/upstream/longvalue.go
@@ -147,8 +147,26 @@
 	return nil
 }
 
+// awaitWriter waits until the command has been written or has failed. An endpoint may answer before the goroutine that
+// writes the rest of a large command has said that the last byte is out.
+func (c *connection) awaitWriter() {
+	if c.writeState.Load() != writeStarted {
+		return
+	}
+	writing := make(chan (<-chan struct{}), 1)
+	c.pool.loop.Post(func() { writing <- c.writing })
+	select {
+	case ended := <-writing:
+		if ended != nil {
+			<-ended
+		}
+	case <-c.pool.loop.Done():
+	}
+}
+
 // beginLongValue asks the loop for the sink of a long value. It returns nil if the attempt has been abandoned.
 func (c *connection) beginLongValue(size int) Sink {
+	c.awaitWriter()
 	answer := make(chan Sink, 1)
 	c.pool.loop.Post(func() { answer <- c.pool.handleLongValue(c, size) })
 	select {
