--- a/cmd/gapgap/soak_test.go
+++ b/cmd/gapgap/soak_test.go
@@ -360,8 +360,7 @@
 		w.t.Logf("seed %d: %d units of the capped customer at %d gateways, its bucket falls to %.1f",
 			w.seed, len(times), customer.spread, lowest)
 		if lowest < -allowed {
-			w.failures = append(w.failures, fmt.Sprintf("customer %s: the ceiling's bucket falls to %.1f, allowed is %.1f",
-				customer.id, lowest, -allowed))
+			w.fail("customer %s: the ceiling's bucket falls to %.1f, allowed is %.1f", customer.id, lowest, -allowed)
 		}
 	}
 }
--- a/cmd/gapgap/soakclient_test.go
+++ b/cmd/gapgap/soakclient_test.go
@@ -166,8 +166,9 @@
 		if isUnread && try < 2 || c.world.hasCrowd && arrivals == 0 {
 			continue
 		}
-		c.world.fail("%s (%s, gateway %d, %v of %v, %d arrivals, used %t, killed %t): %v", request.id, request.class.name,
-			c.gateway, time.Since(request.sentAt), request.timeout, arrivals, wasUsed, killed, err)
+		c.world.fail("%s (%s, gateway %d, %v of %v, %d arrivals, used %t, killed %t): %v",
+			request.id, request.class.name, c.gateway, time.Since(request.sentAt), request.timeout,
+			arrivals, wasUsed, killed, err)
 		return
 	}
 }
--- a/internal/balancer/largefleet.go
+++ b/internal/balancer/largefleet.go
@@ -12,8 +12,8 @@
 	largeFleetGateways = 12
 	// maxCounterWaitFraction is the fraction of its time limit for which a request may wait for the counter.
 	maxCounterWaitFraction = 0.2
-	// evenShareTokenTTL is the time after which unspent leased tokens are returned, if each request is also paid from an
-	// even share of the ceiling.
+	// evenShareTokenTTL is the time after which unspent leased tokens are returned, if each request is also paid from
+	// an even share of the ceiling.
 	evenShareTokenTTL = 12 * time.Second
 	// largeFleetLeaseParts is the number of maximum-size leases that use up a bucket.
 	largeFleetLeaseParts = 4.0
--- a/internal/simulator/ceilinglate_test.go
+++ b/internal/simulator/ceilinglate_test.go
@@ -50,7 +50,7 @@
 	floodSeconds := 1 + rng.IntN(3)
 	calm := 0.1 + 0.4*rng.Float64()
 	period := time.Duration(restSeconds+floodSeconds) * time.Second
-	w := &ceilingWorld{World: New(seed, lateFleetEndpoints), bucket: ceilingBucket{plan: plan}, unitsBySecond: map[int]float64{}}
+	w := &ceilingWorld{World: New(seed, lateFleetEndpoints), bucket: ceilingBucket{plan: plan}}
 	inFlood := func() time.Duration { return (w.Now-Start)%period - time.Duration(restSeconds)*time.Second }
 	for range gateways {
 		g := w.AddGateway(testSettings(gateways, false, plan))
--- a/internal/simulator/ceilingspike_test.go
+++ b/internal/simulator/ceilingspike_test.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// spikeFleetGateways is the number of gateways, so many that each one's even share of a ceiling is a request or two.
+	// spikeFleetGateways is the number of gateways. Each one's even share of a ceiling is a request or two.
 	spikeFleetGateways = 32
 	// spikeFleetEndpoints is the number of endpoints.
 	spikeFleetEndpoints = 120
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -30,8 +30,8 @@
 	ended        bool
 	// answerBegunAt is the time at which an answer that did not come at once began. 0 means that none has.
 	answerBegunAt time.Duration
-	// valueComplete reports that the owner has the value as a whole. What is left of the answer is awaited for a bounded
-	// time, whatever becomes of the request.
+	// valueComplete reports that the owner has the value as a whole. What is left of the answer is awaited for a
+	// bounded time, whatever becomes of the request.
 	valueComplete bool
 }
 
@@ -40,8 +40,8 @@
 	// Command returns the complete command for the endpoint, which includes how long this side will wait for the
 	// answer. nil means that no answer is needed any more and the attempt has been cancelled.
 	Command(wait time.Duration) []byte
-	// DelayWrite reports that the command is not written yet: the attempt waits for its connection, or the endpoint does
-	// not read. It may be called more than once.
+	// DelayWrite reports that the command is not written yet: the attempt waits for its connection, or the endpoint
+	// does not read. It may be called more than once.
 	DelayWrite()
 	// CompleteWrite reports that the last byte of the command has been written.
 	CompleteWrite()
--- a/internal/upstream/longvalue.go
+++ b/internal/upstream/longvalue.go
@@ -98,7 +98,8 @@
 	}
 	p.recordAnswerBegun(c)
 	attempt.timeoutTimer.Stop()
-	attempt.timeoutTimer = p.loop.At(max(attempt.Deadline, attempt.AnswerDeadline), func() { p.handleTimeout(c, attempt) })
+	deadline := max(attempt.Deadline, attempt.AnswerDeadline)
+	attempt.timeoutTimer = p.loop.At(deadline, func() { p.handleTimeout(c, attempt) })
 	attempt.Owner.BeginAnswer()
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,8 +25,8 @@
 	IdleTimeout time.Duration
 	// StallTimeout bounds the time between two pieces of a long value. 0 means 5 s.
 	StallTimeout time.Duration
-	// ValueTimeout bounds the time for which the reader waits for the endpoint for each KiB of a long value, without the
-	// time that the sink takes. 0 means 60 s.
+	// ValueTimeout bounds the time for which the reader waits for the endpoint for each KiB of a long value, without
+	// the time that the sink takes. 0 means 60 s.
 	ValueTimeout time.Duration
 	// UsageTimeout bounds the time from the end of a value to the end of its answer. 0 means 1 s.
 	UsageTimeout time.Duration
