--- a/cmd/gapgap/soak_test.go
+++ b/cmd/gapgap/soak_test.go
@@ -118,12 +118,17 @@
 	})
 }
 
-// recordArrival records a command that has come whole to an endpoint, and checks what holds for it.
+// recordArrival records a command that has come whole to an endpoint, and checks what holds for it. It returns nil if
+// no client has sent the request.
 func (w *soakWorld) recordArrival(e *soakEndpoint, command []string, firstByteAt time.Time) *soakRequest {
 	now := time.Now()
 	w.mu.Lock()
 	request := w.requests[command[2]]
 	w.mu.Unlock()
+	if request == nil {
+		w.fail("%s: arrives at %s and was not sent by any client of this run", command[2], e.name)
+		return nil
+	}
 	request.mu.Lock()
 	request.arrivals++
 	arrivals, sentAt, answeredAt, leftAt := request.arrivals, request.sentAt, request.answeredAt, request.leftAt
--- a/cmd/gapgap/soakendpoint_test.go
+++ b/cmd/gapgap/soakendpoint_test.go
@@ -113,6 +113,9 @@
 			continue
 		}
 		request := e.world.recordArrival(e, command, firstByteAt)
+		if request == nil {
+			break
+		}
 		go c.answer(request)
 	}
 	c.checkEnd(time.Now())
